--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Commands of the project. The README lists them.
+MODULES := gen router entry sidecar gooseberryctl standin scenario
+CHECKED := router entry sidecar gooseberryctl standin scenario
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+
+.PHONY: build demo test format lint vet race scenarios bench-policy bench-capacity generate tools known-red
+
+build:
+	go build -o bin/ ./entry/cmd/... ./sidecar/cmd/... ./gooseberryctl/cmd/... ./standin/cmd/...
+
+demo: build
+	go run ./scenario/cmd/demo -bin bin
+
+test: known-red format lint vet race
+
+known-red:
+	@if [ -f KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
+
+tools:
+	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+format: tools
+	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint fmt --diff ./...) || exit 1; done
+
+lint: tools
+	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+
+vet:
+	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+race: build
+	go test -race -timeout 15m $(addprefix ./,$(addsuffix /...,$(CHECKED)))
+
+scenarios: build
+	go test -race -count=1 -timeout 15m ./scenario/...
+
+bench-policy:
+	go run ./router/cmd/bench-policy
+
+bench-capacity:
+	go test -run '^$$' -bench . -benchmem ./router/... ./scenario/...
+
+generate:
+	./generate.sh
--- /dev/null
+++ b/entry/cmd/gooseberry-entry/main.go
@@ -0,0 +1,4 @@
+// Command gooseberry-entry is built from package entry.
+package main
+
+func main() {}
--- /dev/null
+++ b/gooseberryctl/cmd/gooseberryctl/main.go
@@ -0,0 +1,4 @@
+// Command gooseberryctl is built from package gooseberryctl.
+package main
+
+func main() {}
--- /dev/null
+++ b/gooseberryctl/gooseberryctl.go
@@ -0,0 +1,2 @@
+// Package gooseberryctl is the operators' client.
+package gooseberryctl
--- /dev/null
+++ b/router/adapter/fleet/fleet.go
@@ -0,0 +1,64 @@
+// Package fleet connects the system's own processes over HTTP/2 without TLS.
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"gooseberrypin.example/router/access"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	pingAfterIdle    = time.Second
+	pingTimeout      = 1500 * time.Millisecond
+	headerTimeout    = 5 * time.Second
+	idleConnTimeout  = 90 * time.Second
+	maxHeaderBytes   = 16 << 10
+	maxStreamsPerTCP = 10_000
+)
+
+// NewClient returns a client that sends the fleet key. Overrides map a published
+// address to the one that is dialled.
+func NewClient(keys access.FleetKeys, overrides map[string]string) *http.Client {
+	return &http.Client{Transport: keys.Transport(NewTransport(overrides))}
+}
+
+// NewTransport returns an HTTP/2 transport without TLS that notices a silent peer by pings.
+func NewTransport(overrides map[string]string) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		Protocols:       protocols,
+		IdleConnTimeout: idleConnTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if to, found := overrides[address]; found {
+				address = to
+			}
+			return dialer.DialContext(ctx, network, address)
+		},
+	}
+}
+
+// NewServer returns a server that speaks HTTP/1.1 and HTTP/2 without TLS.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerTCP},
+	}
+}
+
+// URL returns the base URL of a published address.
+func URL(address string) string {
+	return "http://" + address
+}
--- /dev/null
+++ b/router/configuration/index.go
@@ -0,0 +1,136 @@
+package configuration
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/label"
+)
+
+type (
+	// Index answers look-ups in one configuration. It never changes.
+	Index struct {
+		configuration *Configuration
+		upstreams     map[string]*Upstream
+		pools         map[string]*Pool
+		members       map[string][]*Upstream
+		poolsOf       map[string][]*Pool
+		byModel       map[string]*Rule
+		byService     map[string]*Rule
+		byCredential  map[string]*Partner
+	}
+)
+
+// NewIndex returns an index, or the first selector that can't be read.
+func NewIndex(c *Configuration) (*Index, error) {
+	i := &Index{
+		configuration: c,
+		upstreams:     make(map[string]*Upstream, len(c.Upstreams)),
+		pools:         make(map[string]*Pool, len(c.Pools)),
+		members:       make(map[string][]*Upstream, len(c.Pools)),
+		poolsOf:       make(map[string][]*Pool),
+		byModel:       make(map[string]*Rule, len(c.Rules)),
+		byService:     make(map[string]*Rule, len(c.Rules)),
+		byCredential:  make(map[string]*Partner, len(c.Partners)),
+	}
+	for n := range c.Upstreams {
+		i.upstreams[c.Upstreams[n].Name] = &c.Upstreams[n]
+	}
+	for n := range c.Pools {
+		if err := i.addPool(&c.Pools[n]); err != nil {
+			return nil, err
+		}
+	}
+	i.addRules()
+	i.addPartners()
+	return i, nil
+}
+
+// Configuration returns the indexed configuration.
+func (i *Index) Configuration() *Configuration {
+	return i.configuration
+}
+
+// Upstream returns an upstream by name, or nil.
+func (i *Index) Upstream(name string) *Upstream {
+	return i.upstreams[name]
+}
+
+// Pool returns a pool by name, or nil.
+func (i *Index) Pool(name string) *Pool {
+	return i.pools[name]
+}
+
+// Members returns the upstreams of a pool in the order of their names, leaving ones included.
+func (i *Index) Members(pool string) []*Upstream {
+	return i.members[pool]
+}
+
+// PoolsOf returns the pools that an upstream is in.
+func (i *Index) PoolsOf(upstream string) []*Pool {
+	return i.poolsOf[upstream]
+}
+
+// RuleForModel returns the rule of a model, or nil.
+func (i *Index) RuleForModel(model string) *Rule {
+	return i.byModel[model]
+}
+
+// RuleForService returns the rule of a plain service, or nil.
+func (i *Index) RuleForService(service string) *Rule {
+	return i.byService[service]
+}
+
+// PartnerByCredential returns the partner of a credential's SHA-256, or nil.
+func (i *Index) PartnerByCredential(digest string) *Partner {
+	return i.byCredential[digest]
+}
+
+// Allows tells whether a partner may use a rule.
+func (p *Partner) Allows(rule string) bool {
+	return len(p.Rules) == 0 || slices.Contains(p.Rules, rule)
+}
+
+func (i *Index) addPool(p *Pool) error {
+	selector, err := label.Parse(p.Selector)
+	if err != nil {
+		return eris.Wrapf(err, "pool %s", p.Name)
+	}
+	i.pools[p.Name] = p
+	for n := range i.configuration.Upstreams {
+		u := &i.configuration.Upstreams[n]
+		if selector.Matches(u.Labels) {
+			i.members[p.Name] = append(i.members[p.Name], u)
+			i.poolsOf[u.Name] = append(i.poolsOf[u.Name], p)
+		}
+	}
+	slices.SortFunc(i.members[p.Name], func(a, b *Upstream) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return nil
+}
+
+func (i *Index) addRules() {
+	for n := range i.configuration.Rules {
+		r := &i.configuration.Rules[n]
+		if r.Model != "" {
+			i.byModel[r.Model] = r
+		}
+		if r.Service != "" {
+			i.byService[r.Service] = r
+		}
+	}
+}
+
+func (i *Index) addPartners() {
+	for n := range i.configuration.Partners {
+		p := &i.configuration.Partners[n]
+		for _, digest := range p.CredentialSHA256 {
+			i.byCredential[digest] = p
+		}
+	}
+}
--- /dev/null
+++ b/router/settings/settings.go
@@ -0,0 +1,129 @@
+// Package settings reads the JSON settings of a process and checks them before it listens.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/access"
+)
+
+const (
+	minFleetKeyBytes = 16
+)
+
+type (
+	// Process holds the settings that every process of the system has.
+	Process struct {
+		// Name is the process's name, unique in the fleet.
+		Name string `json:"name"`
+		// VM is the name of the VM in the platform's list.
+		VM         string `json:"vm"`
+		Region     string `json:"region"`
+		DataCentre string `json:"data_centre"`
+		// FleetAddress serves the system's own processes, as IP:port.
+		FleetAddress string `json:"fleet_address"`
+		// OperatorAddress serves metrics and the state dump, as IP:port.
+		OperatorAddress string `json:"operator_address"`
+		// PlatformAddress is the configuration service, as IP:port.
+		PlatformAddress string `json:"platform_address"`
+		// FleetKeys are one or two keys; the first is sent, each is accepted.
+		FleetKeys []string `json:"fleet_keys"`
+		// DialOverrides maps a published address to the one that is dialled.
+		DialOverrides map[string]string `json:"dial_overrides"`
+		// Seed makes random choices repeatable. Zero draws a seed.
+		Seed uint64 `json:"seed"`
+	}
+
+	// Faults lists what is wrong, each with the field's name.
+	Faults struct {
+		List []string
+	}
+)
+
+// Load reads a JSON file into target and refuses unknown fields.
+func Load(path string, target any) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	return Decode(content, target)
+}
+
+// Decode reads one JSON value into target and refuses unknown fields and trailing content.
+func Decode(content []byte, target any) error {
+	d := json.NewDecoder(bytes.NewReader(content))
+	d.DisallowUnknownFields()
+	if err := d.Decode(target); err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	if d.More() {
+		return eris.New("settings: content after the first JSON value")
+	}
+	return nil
+}
+
+// Check adds the faults of the common settings.
+func (p *Process) Check(f *Faults) {
+	f.Required("name", p.Name)
+	f.Required("vm", p.VM)
+	f.Required("region", p.Region)
+	f.Required("data_centre", p.DataCentre)
+	f.Address("fleet_address", p.FleetAddress)
+	f.Address("operator_address", p.OperatorAddress)
+	f.Address("platform_address", p.PlatformAddress)
+	for from, to := range p.DialOverrides {
+		f.Address("dial_overrides", from)
+		f.Address("dial_overrides."+from, to)
+	}
+	p.checkKeys(f)
+}
+
+func (p *Process) checkKeys(f *Faults) {
+	if len(p.FleetKeys) < 1 || len(p.FleetKeys) > access.MaxFleetKeys {
+		f.Addf("fleet_keys: want 1 to %d keys, have %d", access.MaxFleetKeys, len(p.FleetKeys))
+	}
+	for i, key := range p.FleetKeys {
+		if len(key) < minFleetKeyBytes {
+			f.Addf("fleet_keys[%d]: shorter than %d bytes", i, minFleetKeyBytes)
+		}
+	}
+}
+
+// Addf adds a fault.
+func (f *Faults) Addf(format string, args ...any) {
+	f.List = append(f.List, fmt.Sprintf(format, args...))
+}
+
+// Required adds a fault for an empty value.
+func (f *Faults) Required(field, value string) {
+	if value == "" {
+		f.Addf("%s: missing", field)
+	}
+}
+
+// Address adds a fault for a value that is not IP:port.
+func (f *Faults) Address(field, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		f.Addf("%s: %q is not IP:port", field, value)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		f.Addf("%s: %q has no IP number", field, value)
+	}
+}
+
+// Err returns all faults as one error, or nil.
+func (f *Faults) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return eris.New("settings: " + strings.Join(f.List, "; "))
+}
--- /dev/null
+++ b/scenario/scenario.go
@@ -0,0 +1,2 @@
+// Package scenario runs scripts against real processes on loopback.
+package scenario
--- /dev/null
+++ b/sidecar/cmd/gooseberry-sidecar/main.go
@@ -0,0 +1,4 @@
+// Command gooseberry-sidecar is built from package sidecar.
+package main
+
+func main() {}
