Add claims, kept requests and the port to sidecars

Cause: two entries whose VM lists differ could both keep one key and both answer it. A claim at the key's home decides; Settle comes before the completion is sent, so an answer is whole only at the entry that still holds the claim. Ruled out: trusting rendezvous among entries alone (the VM list lags).

--- /dev/null
+++ b/router/adapter/sidecar/sidecar.go
@@ -0,0 +1,169 @@
+// Package sidecar reaches the sidecars of engines over connect and twirp.
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/gen/fleet/v1/fleetv1connect"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	defaultUnaryTimeout = 600 * time.Millisecond
+)
+
+type (
+	// Option changes how sidecars are reached.
+	Option func(*client)
+
+	client struct {
+		http    *http.Client
+		timeout time.Duration
+		observe func(port.Load)
+
+		mu    sync.Mutex
+		peers map[string]*peer
+	}
+
+	// peer has the generated clients of one address.
+	peer struct {
+		prefiller fleetv1connect.PrefillerClient
+		decoder   fleetv1connect.DecoderClient
+		engines   fleetv1.Engines
+		claims    fleetv1.Claims
+	}
+)
+
+// NewClient returns the port to the sidecars of engines.
+func NewClient(c *http.Client, options ...Option) port.Sidecars {
+	s := &client{http: c, timeout: defaultUnaryTimeout, observe: func(port.Load) {}, peers: make(map[string]*peer)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// WithTimeout bounds each unary call.
+func WithTimeout(timeout time.Duration) Option {
+	return func(c *client) { c.timeout = timeout }
+}
+
+// WithLoadObserver receives the loads that ride on answers.
+func WithLoadObserver(observe func(port.Load)) Option {
+	return func(c *client) { c.observe = observe }
+}
+
+// StartPrefill implements port.Sidecars.
+func (c *client) StartPrefill(ctx context.Context, address string, a port.Attempt) (*refusal.Refusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.peer(address).engines.StartPrefill(ctx, &fleetv1.StartPrefillRequest{Attempt: wire.FromAttempt(a)})
+	if err != nil {
+		return nil, eris.Wrapf(err, "start prefill at %s", address)
+	}
+	return wire.ToRefusal(m.GetRefusal()), nil
+}
+
+// Reserve implements port.Sidecars.
+func (c *client) Reserve(ctx context.Context, address string, r port.Reservation) (port.Load, *refusal.Refusal, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.peer(address).engines.Reserve(ctx, &fleetv1.ReserveRequest{
+		Attempt:         wire.FromAttempt(r.Attempt),
+		Keeper:          r.Keeper,
+		Partner:         r.Partner,
+		Model:           r.Model,
+		Fingerprint:     r.Fingerprint,
+		PromptTokens:    int64(r.PromptTokens),
+		MaxOutputTokens: int32(r.MaxOutputTokens),
+		HoldMs:          r.Hold.Milliseconds(),
+	})
+	if err != nil {
+		return port.Load{}, nil, eris.Wrapf(err, "reserve at %s", address)
+	}
+	load := wire.ToLoad(m.GetLoad())
+	c.saw(m.GetLoad())
+	return load, wire.ToRefusal(m.GetRefusal()), nil
+}
+
+// Release implements port.Sidecars.
+func (c *client) Release(ctx context.Context, address string, a port.Attempt) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.peer(address).engines.Release(ctx, &fleetv1.ReleaseRequest{Attempt: wire.FromAttempt(a)})
+	return eris.Wrapf(err, "release at %s", address)
+}
+
+// Claim implements port.Sidecars.
+func (c *client) Claim(ctx context.Context, address string, q claim.Request) (claim.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.peer(address).claims.Claim(ctx, &fleetv1.ClaimRequest{
+		KeyDigest:     q.KeyDigest,
+		ContentDigest: q.ContentDigest,
+		Keeper:        q.Keeper,
+		KeeperAddress: q.KeeperAddress,
+		Unreachable:   q.Unreachable,
+	})
+	if err != nil {
+		return nil, eris.Wrapf(err, "claim at %s", address)
+	}
+	switch o := m.GetOutcome().(type) {
+	case *fleetv1.ClaimResponse_Granted:
+		return claim.Granted{Number: o.Granted.GetNumber()}, nil
+	case *fleetv1.ClaimResponse_Held:
+		return claim.Held{Keeper: o.Held.GetKeeper(), KeeperAddress: o.Held.GetKeeperAddress()}, nil
+	case *fleetv1.ClaimResponse_Refusal:
+		return claim.Refused{Refusal: wire.ToRefusal(o.Refusal)}, nil
+	}
+	return nil, eris.Errorf("claim at %s: no outcome", address)
+}
+
+// Settle implements port.Sidecars.
+func (c *client) Settle(ctx context.Context, address string, a port.Attempt, keeper string, answered bool) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.peer(address).claims.Settle(ctx, &fleetv1.SettleRequest{
+		Attempt:  wire.FromAttempt(a),
+		Keeper:   keeper,
+		Answered: answered,
+	})
+	if err != nil {
+		return false, eris.Wrapf(err, "settle at %s", address)
+	}
+	return m.GetSettled(), nil
+}
+
+func (c *client) saw(m *fleetv1.Load) {
+	if m != nil {
+		c.observe(wire.ToLoad(m))
+	}
+}
+
+func (c *client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, found := c.peers[address]
+	if found {
+		return p
+	}
+	url := fleet.URL(address)
+	p = &peer{
+		prefiller: fleetv1connect.NewPrefillerClient(c.http, url),
+		decoder:   fleetv1connect.NewDecoderClient(c.http, url),
+		engines:   fleetv1.NewEnginesProtobufClient(url, c.http),
+		claims:    fleetv1.NewClaimsProtobufClient(url, c.http),
+	}
+	c.peers[address] = p
+	return p
+}
--- a/router/adapter/wire/wire.go
+++ b/router/adapter/wire/wire.go
@@ -5,6 +5,8 @@
 	"time"
 
 	callerv1 "gooseberrypin.example/gen/caller/v1"
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 )
 
@@ -29,7 +31,52 @@
 	return &refusal.Refusal{
 		Ran:        refusal.Ran(m.GetRan()),
 		Reason:     refusal.Reason(m.GetReason()),
-		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: Milliseconds(m.GetRetryAfterMs()),
 		Message:    m.GetMessage(),
 	}
 }
+
+// FromAttempt returns the message of an attempt.
+func FromAttempt(a port.Attempt) *fleetv1.Attempt {
+	return &fleetv1.Attempt{KeyDigest: a.KeyDigest, Number: a.Number}
+}
+
+// ToAttempt returns the attempt of a message.
+func ToAttempt(m *fleetv1.Attempt) port.Attempt {
+	return port.Attempt{KeyDigest: m.GetKeyDigest(), Number: m.GetNumber()}
+}
+
+// FromLoad returns the message of a load.
+func FromLoad(l port.Load) *fleetv1.Load {
+	return &fleetv1.Load{
+		Upstream:     l.Upstream,
+		QueueDelayMs: l.QueueDelay.Milliseconds(),
+		FreePieces:   int32(l.FreePieces),
+		TotalPieces:  int32(l.TotalPieces),
+		Running:      int32(l.Running),
+		RunningLimit: int32(l.RunningLimit),
+		StepUs:       l.Step.Microseconds(),
+		Accepting:    l.Accepting,
+		AgeMs:        l.Age.Milliseconds(),
+	}
+}
+
+// ToLoad returns the load of a message.
+func ToLoad(m *fleetv1.Load) port.Load {
+	return port.Load{
+		Upstream:     m.GetUpstream(),
+		QueueDelay:   Milliseconds(m.GetQueueDelayMs()),
+		FreePieces:   int(m.GetFreePieces()),
+		TotalPieces:  int(m.GetTotalPieces()),
+		Running:      int(m.GetRunning()),
+		RunningLimit: int(m.GetRunningLimit()),
+		Step:         time.Duration(m.GetStepUs()) * time.Microsecond,
+		Accepting:    m.GetAccepting(),
+		Age:          Milliseconds(m.GetAgeMs()),
+	}
+}
+
+// Milliseconds returns a duration of the protocol.
+func Milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/router/request/request.go
@@ -0,0 +1,95 @@
+// Package request holds the requests that an entry keeps: the answer so far, and the
+// one connection that receives it.
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"strconv"
+
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	bytesPerToken = 4
+)
+
+type (
+	// Generation is a partner's request for an answer of a model.
+	Generation struct {
+		Partner         string
+		Key             string
+		Rule            string
+		Model           string
+		Prompt          string
+		MaxOutputTokens int
+	}
+
+	// Piece is a run of consecutive tokens, the completion, or both.
+	Piece struct {
+		Offset     int
+		Tokens     []string
+		Completion *Completion
+	}
+
+	// Completion proves that an answer is whole.
+	Completion struct {
+		TokenCount   int
+		DigestSHA256 string
+		FinishReason string
+	}
+
+	// Outcome ends a connection: Delivered or Refused.
+	//
+	//sumtype:decl
+	Outcome interface{ outcome() }
+
+	// Delivered tells that the whole answer was sent on.
+	Delivered struct{}
+
+	// Refused tells why it was not.
+	Refused struct{ Refusal *refusal.Refusal }
+)
+
+func (Delivered) outcome() {}
+func (Refused) outcome()   {}
+
+// KeyDigest identifies a partner's key, in hexadecimal.
+func KeyDigest(partner, key string) string {
+	return digest(partner, key)
+}
+
+// ContentDigest identifies what a generation asks for, whatever its key, in hexadecimal.
+func (g *Generation) ContentDigest() string {
+	return digest(g.Model, strconv.Itoa(g.MaxOutputTokens), g.Prompt)
+}
+
+// Fingerprint identifies a partner's content, whatever its key, in hexadecimal.
+func (g *Generation) Fingerprint() string {
+	return digest(g.Partner, g.Model, g.Prompt)
+}
+
+// KeyDigest identifies the generation's key, in hexadecimal.
+func (g *Generation) KeyDigest() string {
+	return KeyDigest(g.Partner, g.Key)
+}
+
+// PromptTokens estimates the prompt's length in tokens.
+func (g *Generation) PromptTokens() int {
+	return max(1, len(g.Prompt)/bytesPerToken)
+}
+
+// digest hashes parts with their lengths, so that no two lists of parts collide.
+func digest(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		writePart(h, p)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func writePart(h hash.Hash, part string) {
+	_, _ = h.Write([]byte(strconv.Itoa(len(part)) + ":"))
+	_, _ = h.Write([]byte(part))
+}
