Run a generation over the ports

Cause: the path from prefill over reservation and transfer to decode needs one owner of its failures. What was held is released on every way out; a lost upstream is tried again from the answer so far, within the retry budget; a claim is settled before the completion is handed on.

--- a/router/claim/claim.go
+++ b/router/claim/claim.go
@@ -113,7 +113,7 @@
 	if !found || now.Sub(r.touched) > t.horizon {
 		return t.first(s, q, now)
 	}
-	if r.contentDigest != q.ContentDigest {
+	if r.contentDigest != "" && r.contentDigest != q.ContentDigest {
 		return Refused{refusal.New(refusal.RanNo, refusal.KeyReused, 0, "the key was used for other content")}
 	}
 	r.touched = now
@@ -136,7 +136,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, found := s.records[keyDigest]
-	if !found || r.keeper != keeper || r.number != number {
+	if !found {
+		return t.settleUnknown(s, keyDigest, keeper, number, answered, now)
+	}
+	if r.keeper != keeper || r.number != number {
 		return false
 	}
 	r.touched = now
@@ -180,6 +183,14 @@
 	return Granted{Number: r.number}
 }
 
+// settleUnknown ends a claim that a restarted home has forgotten.
+func (t *Table) settleUnknown(s *shard, keyDigest, keeper string, number uint64, answered bool, now time.Time) bool {
+	if answered {
+		s.records[keyDigest] = &record{keeper: keeper, number: number, state: stateAnswered, touched: now}
+	}
+	return true
+}
+
 // evict drops records past the horizon and tells whether there is room now.
 func (t *Table) evict(s *shard, now time.Time) bool {
 	scanned, dropped := 0, false
--- /dev/null
+++ b/router/generation/generation.go
@@ -0,0 +1,168 @@
+// Package generation runs one request of a model: prefill, reservation, transfer and decode.
+package generation
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+const (
+	defaultFirstToken   = 380 * time.Millisecond
+	defaultHold         = 1500 * time.Millisecond
+	defaultMaxTries     = 3
+	defaultMaxOutput    = 1024
+	defaultRetryAfter   = 250 * time.Millisecond
+	releaseTimeout      = time.Second
+	settleTimeout       = time.Second
+	prefillTargets      = 3
+	reservationAttempts = 3
+)
+
+type (
+	// Target is an upstream to work with.
+	Target struct {
+		Upstream       string
+		SidecarAddress string
+	}
+
+	// Job is what a runner needs to know of a request.
+	Job struct {
+		Generation  request.Generation
+		Fingerprint string
+		Attempt     port.Attempt
+		// Keeper identifies the entry's process for its leases.
+		Keeper string
+		// Home is the address of the sidecar that holds the key's claim.
+		Home string
+		// Suspect work ran on an upstream that died: it runs where few others do.
+		Suspect bool
+	}
+
+	// Route chooses upstreams.
+	Route interface {
+		// Prefill returns a prefill upstream that is not to be avoided.
+		Prefill(g *request.Generation, prompt string, avoid []string, now time.Time) (Target, *refusal.Refusal)
+		// Decode returns a decode upstream that is not to be avoided.
+		Decode(g *request.Generation, promptTokens int, suspect bool, avoid []string, now time.Time) (Target, *refusal.Refusal)
+	}
+
+	// Holdings records where attempts hold anything, so that heartbeats renew their leases.
+	Holdings interface {
+		Add(address string, a port.Attempt)
+		Remove(address string, a port.Attempt)
+	}
+
+	// Crashes records which content ran on upstreams that died.
+	Crashes interface {
+		// Crashed notes a loss and refuses content that must not be tried again.
+		Crashed(fingerprint string, now time.Time) *refusal.Refusal
+		// Passed clears content whose answer became whole.
+		Passed(fingerprint string)
+	}
+
+	// Retries is the budget of retries inside the system.
+	Retries interface {
+		// Try counts a first try.
+		Try()
+		// Allow takes one retry from the budget.
+		Allow() bool
+	}
+
+	// Runner runs requests.
+	Runner interface {
+		// Run fills the record until its answer is whole or refused. It ends early with ctx.
+		Run(ctx context.Context, r *request.Record, j Job)
+	}
+
+	// Option changes a runner's bounds.
+	Option func(*runner)
+
+	runner struct {
+		sidecars   port.Sidecars
+		route      Route
+		holdings   Holdings
+		crashes    Crashes
+		retries    Retries
+		log        event.Log
+		firstToken func() time.Duration
+		hold       time.Duration
+		maxTries   int
+	}
+
+	// result is how one try ended.
+	result struct {
+		why       *refusal.Refusal
+		retryable bool
+	}
+)
+
+// NewRunner returns a runner.
+func NewRunner(s port.Sidecars, route Route, h Holdings, c Crashes, b Retries, options ...Option) Runner {
+	r := &runner{
+		sidecars:   s,
+		route:      route,
+		holdings:   h,
+		crashes:    c,
+		retries:    b,
+		log:        event.Discard(),
+		firstToken: func() time.Duration { return defaultFirstToken },
+		hold:       defaultHold,
+		maxTries:   defaultMaxTries,
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithFirstToken sets the time to the first token that requests are planned for.
+func WithFirstToken(target func() time.Duration) Option {
+	return func(r *runner) { r.firstToken = target }
+}
+
+// WithLog writes events to a log.
+func WithLog(l event.Log) Option {
+	return func(r *runner) { r.log = l }
+}
+
+// Run implements Runner.
+func (r *runner) Run(ctx context.Context, record *request.Record, j Job) {
+	r.retries.Try()
+	for try := 1; ; try++ {
+		w := &work{runner: r, record: record, job: j, deadline: r.deadline(record, try)}
+		res := w.run(ctx)
+		if res.why == nil {
+			r.crashes.Passed(j.Fingerprint)
+			return
+		}
+		if ctx.Err() != nil {
+			record.Fail(refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone"))
+			return
+		}
+		if res.why.Reason == refusal.UpstreamLost && w.crashed {
+			j.Suspect = true
+			if why := r.crashes.Crashed(j.Fingerprint, time.Now()); why != nil {
+				record.Fail(why)
+				return
+			}
+		}
+		if !res.retryable || try >= r.maxTries || !r.retries.Allow() {
+			record.Fail(res.why)
+			return
+		}
+	}
+}
+
+// deadline is the time by which the next token is due: from the arrival for a first
+// try, from now for a continued answer.
+func (r *runner) deadline(record *request.Record, try int) time.Time {
+	if try == 1 {
+		return record.Arrived.Add(r.firstToken())
+	}
+	return time.Now().Add(r.firstToken())
+}
--- /dev/null
+++ b/router/generation/work.go
@@ -0,0 +1,273 @@
+package generation
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+type (
+	// work is one try of a request.
+	work struct {
+		runner   *runner
+		record   *request.Record
+		job      Job
+		deadline time.Time
+		// crashed tells that the engine died, not only its sidecar's connection.
+		crashed bool
+		// exhausted tells that no decode upstream has memory.
+		exhausted bool
+		decode    *Target
+	}
+)
+
+// run prefills, reserves and decodes. What was held is released on every way out.
+func (w *work) run(ctx context.Context) result {
+	kv, why := w.prefill(ctx)
+	if why != nil {
+		w.release()
+		return result{why: why, retryable: why.Reason == refusal.UpstreamLost}
+	}
+	res := w.stream(ctx, kv)
+	w.drop(*w.decode)
+	return res
+}
+
+// prompt is the request's prompt, followed by what was answered before an upstream was lost.
+func (w *work) prompt() string {
+	return w.job.Generation.Prompt + strings.Join(w.record.Tokens(), "")
+}
+
+func (w *work) maxOutput() int {
+	limit := w.job.Generation.MaxOutputTokens
+	if limit <= 0 {
+		limit = defaultMaxOutput
+	}
+	return max(1, limit-len(w.record.Tokens()))
+}
+
+// prefill tries a few upstreams; a refused try costs nothing.
+func (w *work) prefill(ctx context.Context) (port.KV, *refusal.Refusal) {
+	var avoid []string
+	var last *refusal.Refusal
+	prompt := w.prompt()
+	for len(avoid) < prefillTargets && ctx.Err() == nil {
+		target, why := w.runner.route.Prefill(&w.job.Generation, prompt, avoid, time.Now())
+		if why != nil {
+			return port.KV{}, worst(last, why)
+		}
+		kv, why := w.prefillAt(ctx, target, prompt)
+		if why == nil {
+			return kv, nil
+		}
+		last = why
+		if w.crashed || w.exhausted || !elsewhere(why) {
+			break
+		}
+		avoid = append(avoid, target.Upstream)
+	}
+	return port.KV{}, worst(last, nil)
+}
+
+func (w *work) prefillAt(ctx context.Context, target Target, prompt string) (port.KV, *refusal.Refusal) {
+	stream, err := w.runner.sidecars.Prefill(ctx, target.SidecarAddress, port.Prefill{
+		Attempt:     w.job.Attempt,
+		Keeper:      w.job.Keeper,
+		Partner:     w.job.Generation.Partner,
+		Model:       w.job.Generation.Model,
+		Prompt:      prompt,
+		Fingerprint: w.job.Fingerprint,
+		Budget:      time.Until(w.deadline),
+	})
+	if err != nil {
+		return port.KV{}, unreachable(target)
+	}
+	w.runner.holdings.Add(target.SidecarAddress, w.job.Attempt)
+	defer w.runner.holdings.Remove(target.SidecarAddress, w.job.Attempt)
+	defer stream.Close()
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			return port.KV{}, unreachable(target)
+		}
+		kv, done, why := w.onPrefill(ctx, target, e)
+		if done || why != nil {
+			return kv, why
+		}
+	}
+}
+
+func (w *work) onPrefill(ctx context.Context, target Target, e port.PrefillEvent) (port.KV, bool, *refusal.Refusal) {
+	switch e := e.(type) {
+	case port.Queued:
+		return port.KV{}, false, nil
+	case port.AtHead:
+		return port.KV{}, false, w.start(ctx, target)
+	case port.Prefilled:
+		return e.KV, true, nil
+	case port.Refused:
+		w.crashed = w.crashed || e.Refusal.Reason == refusal.UpstreamLost
+		return port.KV{}, false, e.Refusal
+	}
+	return port.KV{}, false, nil
+}
+
+// start reserves decode memory and lets the prefill begin.
+func (w *work) start(ctx context.Context, target Target) *refusal.Refusal {
+	if w.decode == nil {
+		if why := w.reserve(ctx); why != nil {
+			return why
+		}
+	}
+	why, err := w.runner.sidecars.StartPrefill(ctx, target.SidecarAddress, w.job.Attempt)
+	if err != nil {
+		return unreachable(target)
+	}
+	return why
+}
+
+// reserve asks a few decode upstreams for memory.
+func (w *work) reserve(ctx context.Context) *refusal.Refusal {
+	var avoid []string
+	var last *refusal.Refusal
+	for len(avoid) < reservationAttempts && ctx.Err() == nil {
+		target, why := w.runner.route.Decode(&w.job.Generation, w.job.Generation.PromptTokens(), w.job.Suspect, avoid, time.Now())
+		if why != nil {
+			w.exhausted = true
+			return worst(last, why)
+		}
+		why = w.reserveAt(ctx, target)
+		if why == nil {
+			w.decode = &target
+			return nil
+		}
+		last = why
+		avoid = append(avoid, target.Upstream)
+	}
+	w.exhausted = true
+	return noMemory(worst(last, nil))
+}
+
+func (w *work) reserveAt(ctx context.Context, target Target) *refusal.Refusal {
+	w.runner.holdings.Add(target.SidecarAddress, w.job.Attempt)
+	_, why, err := w.runner.sidecars.Reserve(ctx, target.SidecarAddress, port.Reservation{
+		Attempt:         w.job.Attempt,
+		Keeper:          w.job.Keeper,
+		Partner:         w.job.Generation.Partner,
+		Model:           w.job.Generation.Model,
+		Fingerprint:     w.job.Fingerprint,
+		PromptTokens:    request.Tokens(w.prompt()),
+		MaxOutputTokens: w.maxOutput(),
+		Hold:            w.runner.hold,
+	})
+	if err != nil {
+		w.drop(target)
+		return unreachable(target)
+	}
+	if why != nil {
+		w.runner.holdings.Remove(target.SidecarAddress, w.job.Attempt)
+	}
+	return why
+}
+
+// stream decodes into the record.
+func (w *work) stream(ctx context.Context, kv port.KV) result {
+	stream, err := w.runner.sidecars.Decode(ctx, w.decode.SidecarAddress, port.Decode{
+		Attempt:         w.job.Attempt,
+		Keeper:          w.job.Keeper,
+		Model:           w.job.Generation.Model,
+		Fingerprint:     w.job.Fingerprint,
+		KV:              kv,
+		MaxOutputTokens: w.maxOutput(),
+	})
+	if err != nil {
+		return result{why: unreachable(*w.decode), retryable: true}
+	}
+	defer stream.Close()
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			return result{why: unreachable(*w.decode), retryable: true}
+		}
+		switch e := e.(type) {
+		case port.Tokens:
+			w.record.Append(e.Texts)
+		case port.Finished:
+			w.finish(e.Reason)
+			return result{}
+		case port.Refused:
+			w.crashed = e.Refusal.Reason == refusal.UpstreamLost
+			return result{why: e.Refusal, retryable: retryable(e.Refusal)}
+		}
+	}
+}
+
+// finish settles the claim before the completion is handed on: only the entry that
+// still holds the claim ends an answer. A home that can't be asked does not hold it back.
+func (w *work) finish(reason string) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	settled, err := w.runner.sidecars.Settle(ctx, w.job.Home, w.job.Attempt, w.job.Keeper, true)
+	if err == nil && !settled {
+		w.record.Fail(refusal.New(refusal.RanYes, refusal.Superseded, 0, "another entry keeps this key now"))
+		return
+	}
+	w.record.Finish(reason)
+}
+
+// release gives up a reservation that no decode used.
+func (w *work) release() {
+	if w.decode != nil {
+		w.drop(*w.decode)
+	}
+}
+
+// drop ends the lease of an attempt at a sidecar, also when ctx is over.
+func (w *work) drop(target Target) {
+	w.runner.holdings.Remove(target.SidecarAddress, w.job.Attempt)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_ = w.runner.sidecars.Release(ctx, target.SidecarAddress, w.job.Attempt)
+}
+
+func unreachable(t Target) *refusal.Refusal {
+	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
+}
+
+// elsewhere tells whether another upstream may take what this one refused.
+func elsewhere(why *refusal.Refusal) bool {
+	switch why.Reason {
+	case refusal.Overloaded, refusal.Leaving, refusal.WrongRole, refusal.UpstreamLost, refusal.TableFull:
+		return why.Ran == refusal.RanNo
+	}
+	return false
+}
+
+// retryable tells whether a lost decode may be tried again from the start.
+func retryable(why *refusal.Refusal) bool {
+	switch why.Reason {
+	case refusal.UpstreamLost, refusal.KVLost, refusal.Leaving, refusal.WrongRole:
+		return true
+	}
+	return false
+}
+
+// worst returns the refusal to report: the last real one, or why none could be tried.
+func worst(last, none *refusal.Refusal) *refusal.Refusal {
+	if last != nil {
+		return last
+	}
+	if none != nil {
+		return none
+	}
+	return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+}
+
+// noMemory reports a refused reservation.
+func noMemory(why *refusal.Refusal) *refusal.Refusal {
+	return refusal.New(why.Ran, refusal.Overloaded, max(why.RetryAfter, defaultRetryAfter), "no decode memory: %s", why.Message)
+}
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -77,7 +77,12 @@
 
 // PromptTokens estimates the prompt's length in tokens.
 func (g *Generation) PromptTokens() int {
-	return max(1, len(g.Prompt)/bytesPerToken)
+	return Tokens(g.Prompt)
+}
+
+// Tokens estimates the length of a text in tokens.
+func Tokens(text string) int {
+	return max(1, len(text)/bytesPerToken)
 }
 
 // digest hashes parts with their lengths, so that no two lists of parts collide.
