Add the first decision packages

Cause: the entry and the sidecar need the decisions' interfaces to build on. Ruled out: one package for all decisions; each noun has its own state and owner.

--- /dev/null
+++ b/router/decode/chooser.go
@@ -0,0 +1,172 @@
+package decode
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	recentChoices = 64
+)
+
+type (
+	// Hint is a dated report of an engine's memory and pace. It may be wrong.
+	Hint struct {
+		Upstream   string
+		FreePieces int
+		Running    int
+		Limit      int
+		Accepting  bool
+		At         time.Time
+	}
+
+	// Chooser chooses the engine with the most room for a stream. It is safe for concurrent use.
+	Chooser struct {
+		mu        sync.Mutex
+		random    *rand.Rand
+		strategy  Strategy
+		upstreams map[string]*upstream
+	}
+
+	// Option sets an option of a chooser.
+	Option func(c *Chooser)
+
+	upstream struct {
+		hint   Hint
+		hinted bool
+		// recent are the chooser's own choices, which a late hint does not count.
+		recent []change
+	}
+
+	change struct {
+		at      time.Time
+		pieces  int
+		streams int
+	}
+)
+
+// NewChooser returns a chooser that draws from random.
+func NewChooser(random *rand.Rand, opts ...Option) *Chooser {
+	c := &Chooser{random: random, strategy: BestOfAll{}, upstreams: make(map[string]*upstream)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// WithStrategy sets how candidates are compared.
+func WithStrategy(s Strategy) Option {
+	return func(c *Chooser) { c.strategy = s }
+}
+
+// Observe takes a hint, unless a newer one is known.
+func (c *Chooser) Observe(h Hint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.upstream(h.Upstream)
+	if u.hinted && h.At.Before(u.hint.At) {
+		return
+	}
+	u.hint = h
+	u.hinted = true
+	u.recent = slices.DeleteFunc(u.recent, func(made change) bool { return !made.at.After(h.At) })
+}
+
+// Release counts a stream of the chooser's own that ended, before any hint tells so.
+func (c *Chooser) Release(name string, pieces int, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstream(name).add(change{at: now, pieces: -pieces, streams: -1})
+}
+
+// Forget drops all that is known of an upstream.
+func (c *Chooser) Forget(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.upstreams, name)
+}
+
+// Choose returns the candidate with the most room, leaving out those to avoid, or
+// false when none has room. It counts the choice as work of that upstream.
+func (c *Chooser) Choose(pieces int, candidates, avoid []string, now time.Time) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	usable := make([]string, 0, len(candidates))
+	for _, name := range candidates {
+		if !slices.Contains(avoid, name) && c.upstream(name).fits(pieces) {
+			usable = append(usable, name)
+		}
+	}
+	best, found := c.roomiest(narrow(c.strategy, usable, c.random))
+	if found {
+		c.upstream(best).add(change{at: now, pieces: pieces, streams: 1})
+	}
+	return best, found
+}
+
+func (c *Chooser) roomiest(candidates []string) (best string, found bool) {
+	if len(candidates) == 0 {
+		return "", false
+	}
+	offset := c.random.IntN(len(candidates))
+	most := 0.0
+	for i := range candidates {
+		name := candidates[(i+offset)%len(candidates)]
+		room := c.upstream(name).room()
+		if !found || room > most {
+			best, most, found = name, room, true
+		}
+	}
+	return best, found
+}
+
+func (c *Chooser) upstream(name string) *upstream {
+	u, found := c.upstreams[name]
+	if !found {
+		u = &upstream{}
+		c.upstreams[name] = u
+	}
+	return u
+}
+
+func (u *upstream) add(made change) {
+	if len(u.recent) == recentChoices {
+		u.recent = slices.Delete(u.recent, 0, 1)
+	}
+	u.recent = append(u.recent, made)
+}
+
+// taken sums up the chooser's own changes since the hint.
+func (u *upstream) taken() (pieces, streams int) {
+	for _, made := range u.recent {
+		pieces += made.pieces
+		streams += made.streams
+	}
+	return pieces, streams
+}
+
+// fits tells whether the hint leaves room. An engine without a hint is worth a try.
+func (u *upstream) fits(pieces int) bool {
+	if !u.hinted {
+		return true
+	}
+	taken, streams := u.taken()
+	if !u.hint.Accepting || u.hint.FreePieces-taken < pieces {
+		return false
+	}
+	return u.hint.Limit == 0 || u.hint.Running+streams < u.hint.Limit
+}
+
+// room is the free share of the streams that the engine takes.
+func (u *upstream) room() float64 {
+	taken, streams := u.taken()
+	if !u.hinted {
+		return -float64(streams)
+	}
+	if u.hint.Limit == 0 {
+		return float64(u.hint.FreePieces - taken)
+	}
+	return float64(u.hint.Limit - u.hint.Running - streams)
+}
--- /dev/null
+++ b/router/decode/pace.go
@@ -0,0 +1,91 @@
+package decode
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	defaultInitialLimit = 16
+	defaultMaxLimit     = 256
+	// memory of one observation in the fitted line.
+	paceDecay      = 0.98
+	minPaceSamples = 4
+	// paceTolerance absorbs rounding when the target is met exactly.
+	paceTolerance = 1e-6
+)
+
+type (
+	// PaceOption sets an option of a pace.
+	PaceOption func(p *Pace)
+
+	// Pace learns at which concurrency an engine keeps the time between tokens. It fits
+	// step = base + slope x batch to reports, the newest weighing most. It is safe for concurrent use.
+	Pace struct {
+		mu       sync.Mutex
+		target   time.Duration
+		initial  int
+		maxLimit int
+		weight   float64
+		batch    float64
+		step     float64
+		batch2   float64
+		cross    float64
+		samples  int
+	}
+)
+
+// NewPace returns a pace for a target time between tokens.
+func NewPace(target time.Duration, opts ...PaceOption) *Pace {
+	p := &Pace{target: target, initial: defaultInitialLimit, maxLimit: defaultMaxLimit}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// WithInitialLimit sets the limit before anything was learned.
+func WithInitialLimit(limit int) PaceOption {
+	return func(p *Pace) { p.initial = limit }
+}
+
+// WithMaxLimit bounds the limit.
+func WithMaxLimit(limit int) PaceOption {
+	return func(p *Pace) { p.maxLimit = limit }
+}
+
+// Observe takes a report of one step of a batch.
+func (p *Pace) Observe(batch int, step time.Duration) {
+	if batch <= 0 || step <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x, y := float64(batch), step.Seconds()
+	p.weight = p.weight*paceDecay + 1
+	p.batch = p.batch*paceDecay + x
+	p.step = p.step*paceDecay + y
+	p.batch2 = p.batch2*paceDecay + x*x
+	p.cross = p.cross*paceDecay + x*y
+	p.samples++
+}
+
+// Limit returns the largest batch whose step is predicted to meet the target, at least 1.
+func (p *Pace) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.samples < minPaceSamples {
+		return p.initial
+	}
+	mean, step := p.batch/p.weight, p.step/p.weight
+	variance := p.batch2/p.weight - mean*mean
+	slope := 0.0
+	if variance > paceTolerance {
+		slope = (p.cross/p.weight - mean*step) / variance
+	}
+	if slope <= 0 {
+		slope = step / (2 * mean)
+	}
+	limit := mean + (p.target.Seconds()-step)/slope
+	return min(max(1, int(limit+paceTolerance)), p.maxLimit)
+}
--- /dev/null
+++ b/router/retry/budget.go
@@ -0,0 +1,56 @@
+// Package retry bounds the retries inside the system to a fraction of first tries.
+package retry
+
+import (
+	"sync"
+)
+
+const (
+	defaultBurst = 10
+)
+
+type (
+	// Option sets an option of a budget.
+	Option func(b *Budget)
+
+	// Budget earns a fraction of a retry with each first try. It is safe for concurrent use.
+	Budget struct {
+		mu       sync.Mutex
+		fraction float64
+		burst    float64
+		earned   float64
+	}
+)
+
+// NewBudget returns a full budget that allows a fraction of first tries to be retried.
+func NewBudget(fraction float64, opts ...Option) *Budget {
+	b := &Budget{fraction: fraction, burst: defaultBurst}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.earned = b.burst
+	return b
+}
+
+// WithBurst sets how many retries may be saved up.
+func WithBurst(retries int) Option {
+	return func(b *Budget) { b.burst = float64(retries) }
+}
+
+// Try counts a first try.
+func (b *Budget) Try() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earned = min(b.burst, b.earned+b.fraction)
+}
+
+// Allow spends one retry, or returns false when none is left.
+func (b *Budget) Allow() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.earned < 1 {
+		return false
+	}
+	b.earned--
+	return true
+}
