--- /dev/null
+++ b/entry/crashes.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/peer"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	spreadTimeout = 150 * time.Millisecond
+)
+
+type (
+	// crashes keeps content away from upstreams that it crashed. It implements
+	// generation.Crashes.
+	crashes struct {
+		entry *Entry
+		table *quarantine.Table
+	}
+)
+
+func newCrashes(e *Entry) *crashes {
+	return &crashes{entry: e, table: quarantine.NewTable()}
+}
+
+// Crashed implements generation.Crashes. The entries of the region hear of it before
+// the content is tried again.
+func (c *crashes) Crashed(fingerprint string, now time.Time) *refusal.Refusal {
+	c.table.Report([]string{fingerprint}, now)
+	c.spread()
+	return c.check(fingerprint, now)
+}
+
+// Passed implements generation.Crashes.
+func (c *crashes) Passed(fingerprint string) {
+	c.table.Clear(fingerprint)
+}
+
+// check refuses quarantined content.
+func (c *crashes) check(fingerprint string, now time.Time) *refusal.Refusal {
+	switch v := c.table.Check(fingerprint, now).(type) {
+	case quarantine.Free, quarantine.Suspected:
+		return nil
+	case quarantine.Quarantined:
+		c.entry.count("quarantined")
+		return refusal.New(refusal.RanYes, refusal.Quarantined, v.Remaining, "this content crashed upstreams")
+	}
+	return nil
+}
+
+// suspected tells whether content crashed an upstream before.
+func (c *crashes) suspected(fingerprint string, now time.Time) bool {
+	_, found := c.table.Check(fingerprint, now).(quarantine.Suspected)
+	return found
+}
+
+func (c *crashes) suspects() []*fleetv1.Suspect {
+	return wire.FromSuspects(c.table.Suspects(time.Now()))
+}
+
+func (c *crashes) merge(list []*fleetv1.Suspect) {
+	c.table.Merge(wire.ToSuspects(list), time.Now())
+}
+
+// spread tells the region's entries at once, within a short time.
+func (c *crashes) spread() {
+	e := c.entry
+	ctx, cancel := context.WithTimeout(e.context, spreadTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, address := range e.route.Entries() {
+		wg.Go(func() {
+			q := &fleetv1.HeartbeatRequest{From: e.process(), View: peer.FromView(e.reader.View()), Suspects: c.suspects()}
+			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(address), e.http).Heartbeat(ctx, q)
+		})
+	}
+	wg.Wait()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,2 +1,227 @@
 // Package entry faces callers, keeps requests and decides where they run.
 package entry
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/access"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/peer"
+	"gooseberrypin.example/router/adapter/platform"
+	"gooseberrypin.example/router/adapter/sidecar"
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/generation"
+	"gooseberrypin.example/router/lease"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/request"
+	"gooseberrypin.example/router/retry"
+	"gooseberrypin.example/router/route"
+	"gooseberrypin.example/router/subscription"
+	"gooseberrypin.example/router/vm"
+)
+
+const (
+	retryFraction = 0.1
+	sweepInterval = 5 * time.Second
+	closeTimeout  = 2 * time.Second
+)
+
+type (
+	// Option changes an entry.
+	Option func(*Entry)
+
+	// Entry is one process that faces callers. It is built from settings and keeps no globals.
+	Entry struct {
+		settings Settings
+		id       string
+		started  time.Time
+		log      event.Log
+		random   *rand.Rand
+		naive    map[string]bool
+		metrics  *expvar.Map
+
+		store    *configuration.Store
+		vms      *vm.Table
+		reader   *subscription.Reader
+		http     *http.Client
+		sidecars port.Sidecars
+		route    *route.Router
+		runner   generation.Runner
+		book     *request.Book
+		holdings *lease.Holdings
+		relays   *relays
+		crashes  *crashes
+
+		context     context.Context
+		stop        context.CancelFunc
+		work        sync.WaitGroup
+		connections atomic.Uint64
+		calls       atomic.Int64
+		draining    atomic.Bool
+		drained     chan struct{}
+		drainOnce   sync.Once
+		address     string
+		servers     []*http.Server
+	}
+)
+
+// New returns an entry that doesn't listen yet.
+func New(s Settings, options ...Option) *Entry {
+	started := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{
+		settings: s,
+		id:       fmt.Sprintf("%s@%d", s.Name, started.UnixMilli()),
+		started:  started,
+		log:      event.Discard(),
+		random:   newRandom(s.Seed),
+		naive:    make(map[string]bool),
+		metrics:  new(expvar.Map).Init(),
+		store:    configuration.NewStore(),
+		vms:      vm.NewTable(),
+		book:     request.NewBook(),
+		holdings: lease.NewHoldings(),
+		relays:   newRelays(),
+		context:  ctx,
+		stop:     stop,
+		drained:  make(chan struct{}),
+	}
+	for _, o := range options {
+		o(e)
+	}
+	for _, name := range s.Naive {
+		e.naive[name] = true
+	}
+	return e
+}
+
+// WithLog writes events to w as JSON lines.
+func WithLog(w io.Writer) Option {
+	return func(e *Entry) { e.log = event.NewLog(w, e.settings.Name) }
+}
+
+// Run serves until ctx ends or a drain is over.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	var background sync.WaitGroup
+	for _, loop := range []func(context.Context){e.reader.Run, e.renewLeases, e.expireRelays, e.sweep} {
+		background.Go(func() { loop(e.context) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-e.drained:
+	}
+	e.log.Info(event.Stopped)
+	e.stop()
+	e.close()
+	background.Wait()
+	return nil
+}
+
+// Drain takes no new work, lets what runs end, and then lets Run return.
+func (e *Entry) Drain() {
+	e.drainOnce.Do(func() {
+		e.draining.Store(true)
+		e.log.Info(event.Draining)
+		go func() {
+			e.finishRequests()
+			close(e.drained)
+		}()
+	})
+}
+
+// build wires the entry for the address that it serves.
+func (e *Entry) build(fleetAddress string) {
+	s := &e.settings
+	e.address = fleetAddress
+	e.http = fleet.NewClient(access.NewFleetKeys(s.FleetKeys...), s.DialOverrides)
+	self := route.Self{Name: s.Name, VM: s.VM, Region: s.Region, DataCentre: s.DataCentre, Address: fleetAddress}
+	e.route = route.NewRouter(self, e.store, e.vms, e.random)
+	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
+	e.crashes = newCrashes(e)
+	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction),
+		generation.WithFirstToken(e.firstToken))
+	e.reader = subscription.NewReader(s.VM, s.DataCentre,
+		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
+		e.store, e.vms, newRandom(e.random.Uint64()), e.log)
+}
+
+// firstToken is the target that the operators set.
+func (e *Entry) firstToken() time.Duration {
+	const standard = 380 * time.Millisecond
+	s := e.store.Current()
+	if s == nil || s.Index.Configuration().Limits.FirstTokenMS <= 0 {
+		return standard
+	}
+	return time.Duration(s.Index.Configuration().Limits.FirstTokenMS) * time.Millisecond
+}
+
+// process describes this process to its peers.
+func (e *Entry) process() *fleetv1.Process {
+	return &fleetv1.Process{
+		Name:          e.settings.Name,
+		Kind:          "entry",
+		FleetAddress:  e.address,
+		DataCentre:    e.settings.DataCentre,
+		StartedUnixMs: e.started.UnixMilli(),
+		Draining:      e.draining.Load(),
+	}
+}
+
+func (e *Entry) count(name string) {
+	e.metrics.Add(name, 1)
+}
+
+// sweep forgets old records.
+func (e *Entry) sweep(ctx context.Context) {
+	every(ctx, sweepInterval, func() { e.book.Sweep(time.Now()) })
+}
+
+func newRandom(seed uint64) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, seed))
+}
+
+// every calls f at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func listenTCP(field, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, field)
+	}
+	return l, nil
+}
+
+func serveFailed(err error) bool {
+	return err != nil && !errors.Is(err, http.ErrServerClosed)
+}
--- /dev/null
+++ b/entry/keeper.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/generation"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+const (
+	claimRounds   = 3
+	settleTimeout = time.Second
+	drainingRetry = 100 * time.Millisecond
+	noHomeRetry   = 500 * time.Millisecond
+)
+
+type (
+	// keeper serves the other entries.
+	keeper struct {
+		entry *Entry
+	}
+)
+
+// Keep implements the fleet's Keeper service.
+func (k *keeper) Keep(ctx context.Context, q *connect.Request[fleetv1.KeepRequest], s *connect.ServerStream[fleetv1.KeepEvent]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := toGeneration(q.Msg)
+	item := leaseItem(port.Attempt{KeyDigest: g.KeyDigest(), Number: q.Msg.GetConnection()})
+	k.entry.relays.add(q.Msg.GetRelay(), item, cancel)
+	defer k.entry.relays.remove(q.Msg.GetRelay(), item)
+	why := k.entry.keep(ctx, g, int(q.Msg.GetRequest().GetOffsetTokens()), q.Msg.GetForwarded(), func(p request.Piece) error {
+		return s.Send(&fleetv1.KeepEvent{Event: &fleetv1.KeepEvent_Piece{Piece: fromPiece(p)}})
+	})
+	if why == nil {
+		return nil
+	}
+	return s.Send(&fleetv1.KeepEvent{Event: &fleetv1.KeepEvent_Refusal{Refusal: wire.FromRefusal(why)}})
+}
+
+// Delivered implements the fleet's Keeping service.
+func (k *keeper) Delivered(_ context.Context, q *fleetv1.DeliveredRequest) (*fleetv1.DeliveredResponse, error) {
+	return &fleetv1.DeliveredResponse{Known: k.entry.deliver(q.GetKeyDigest())}, nil
+}
+
+// keep joins the record of a key, or opens it and starts the work.
+func (e *Entry) keep(ctx context.Context, g request.Generation, offset int, forwarded bool, out send) *refusal.Refusal {
+	if why := e.crashes.check(g.Fingerprint(), time.Now()); why != nil {
+		return why
+	}
+	r, isNew, why := e.book.Open(g, time.Now())
+	if why != nil {
+		return why
+	}
+	if isNew {
+		if why := e.start(r, forwarded); why != nil {
+			return why
+		}
+		offset = 0
+	}
+	reader, why := r.Join(offset)
+	if why != nil {
+		return why
+	}
+	defer reader.Leave()
+	return e.read(ctx, reader, out)
+}
+
+func (e *Entry) read(ctx context.Context, reader *request.Reader, out send) *refusal.Refusal {
+	for {
+		p, why := reader.Next(ctx)
+		if why != nil {
+			return why
+		}
+		if err := out(p); err != nil {
+			return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+		}
+		if p.Completion != nil {
+			return nil
+		}
+	}
+}
+
+// start works on a new record in the background, until it ends or nobody reads it.
+func (e *Entry) start(r *request.Record, forwarded bool) *refusal.Refusal {
+	keyDigest := r.Generation.KeyDigest()
+	if e.draining.Load() {
+		e.book.Remove(keyDigest, r)
+		why := refusal.New(refusal.RanNo, refusal.Leaving, drainingRetry, "this entry is leaving")
+		r.Fail(why)
+		return why
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(e.context))
+	r.Bind(cancel)
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		defer cancel()
+		if why := e.claimAndRun(ctx, r, forwarded); why != nil {
+			r.Fail(why)
+		}
+		if !r.Whole() {
+			e.book.Remove(keyDigest, r)
+		}
+	}()
+	return nil
+}
+
+// claimAndRun claims the key at its home, or joins the entry that has it.
+func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, forwarded bool) *refusal.Refusal {
+	unreachable := ""
+	for range claimRounds {
+		outcome, home := e.claim(ctx, r, unreachable)
+		switch o := outcome.(type) {
+		case nil:
+			return refusal.New(refusal.RanNo, refusal.HomeUnreachable, noHomeRetry, "no home of the key can be reached")
+		case claim.Refused:
+			return o.Refusal
+		case claim.Granted:
+			e.run(ctx, r, port.Attempt{KeyDigest: r.Generation.KeyDigest(), Number: o.Number}, home)
+			return nil
+		case claim.Held:
+			if why := e.join(ctx, r, o, forwarded); why == nil || why.Reason != refusal.HomeUnreachable {
+				return why
+			}
+			unreachable = o.Keeper
+		}
+	}
+	return refusal.New(refusal.RanNo, refusal.HomeUnsettled, noHomeRetry, "the key's keeper changes")
+}
+
+// claim asks the key's homes in turn and returns the answer with the home's address.
+func (e *Entry) claim(ctx context.Context, r *request.Record, unreachable string) (claim.Outcome, string) {
+	g := &r.Generation
+	if e.naive["claim"] {
+		return claim.Granted{Number: uint64(time.Now().UnixMilli())}, ""
+	}
+	for _, home := range e.route.ClaimHomes(g.Model, g.KeyDigest()) {
+		outcome, err := e.sidecars.Claim(ctx, home.SidecarAddress, claim.Request{
+			KeyDigest:     g.KeyDigest(),
+			ContentDigest: r.ContentDigest,
+			Keeper:        e.id,
+			KeeperAddress: e.address,
+			Unreachable:   unreachable,
+		})
+		if err == nil {
+			return outcome, home.SidecarAddress
+		}
+	}
+	return nil, ""
+}
+
+// join copies the answer that another entry keeps into this entry's record.
+func (e *Entry) join(ctx context.Context, r *request.Record, held claim.Held, forwarded bool) *refusal.Refusal {
+	if forwarded {
+		return refusal.New(refusal.RanNo, refusal.HomeUnsettled, noHomeRetry, "the key's keeper changes")
+	}
+	r.ForwardTo(held.KeeperAddress)
+	return e.keepAt(ctx, held.KeeperAddress, r.Generation, 0, true, func(p request.Piece) error {
+		r.Append(p.Tokens)
+		if p.Completion != nil {
+			r.Finish(p.Completion.FinishReason)
+		}
+		return nil
+	})
+}
+
+// run generates the answer and frees the claim if there is none.
+func (e *Entry) run(ctx context.Context, r *request.Record, a port.Attempt, home string) {
+	e.runner.Run(ctx, r, generation.Job{
+		Generation:  r.Generation,
+		Fingerprint: r.Generation.Fingerprint(),
+		Attempt:     a,
+		Keeper:      e.id,
+		Home:        home,
+	})
+	if r.Whole() || home == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	_, _ = e.sidecars.Settle(ctx, home, a, e.id, false)
+}
+
+// deliver notes that a caller has the whole answer.
+func (e *Entry) deliver(keyDigest string) bool {
+	r := e.book.Find(keyDigest)
+	if r == nil {
+		return false
+	}
+	r.Deliver()
+	if holder := r.ForwardedTo(); holder != "" {
+		e.delivered(context.Background(), holder, keyDigest)
+	}
+	return true
+}
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	callerv1 "gooseberrypin.example/gen/caller/v1"
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/gen/fleet/v1/fleetv1connect"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+const (
+	keeperLostRetry  = 250 * time.Millisecond
+	deliveredTimeout = time.Second
+)
+
+type (
+	// send passes a piece of an answer on.
+	send func(request.Piece) error
+)
+
+// relay finds the keeper of a generation and passes the answer on. A keeper that is
+// lost is replaced by the next one, whose answer starts again at offset 0.
+func (e *Entry) relay(ctx context.Context, g request.Generation, offset int, out send) *refusal.Refusal {
+	keyDigest := g.KeyDigest()
+	var last *refusal.Refusal
+	for _, k := range e.route.Keepers(keyDigest) {
+		if ctx.Err() != nil {
+			break
+		}
+		var why *refusal.Refusal
+		if k.VM == e.settings.VM {
+			why = e.keep(ctx, g, offset, false, out)
+		} else {
+			why = e.keepAt(ctx, k.Address, g, offset, false, out)
+		}
+		if why == nil {
+			e.delivered(ctx, k.Address, keyDigest)
+			return nil
+		}
+		last = why
+		if !nextKeeper(why) {
+			return why
+		}
+		offset = 0
+	}
+	if last == nil {
+		return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+	}
+	return last
+}
+
+// keepAt passes on the answer that another entry keeps.
+func (e *Entry) keepAt(ctx context.Context, address string, g request.Generation, offset int, forwarded bool, out send) *refusal.Refusal {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	held := port.Attempt{KeyDigest: g.KeyDigest(), Number: e.connections.Add(1)}
+	e.holdings.Add(address, held)
+	defer e.holdings.Remove(address, held)
+	client := fleetv1connect.NewKeeperClient(e.http, fleet.URL(address))
+	stream, err := client.Keep(ctx, connect.NewRequest(&fleetv1.KeepRequest{
+		Partner:    g.Partner,
+		Rule:       g.Rule,
+		Request:    fromGeneration(g, offset),
+		Relay:      e.id,
+		Connection: held.Number,
+		Forwarded:  forwarded,
+	}))
+	if err != nil {
+		return keeperLost(address)
+	}
+	defer func() { _ = stream.Close() }()
+	return e.receive(stream, address, out)
+}
+
+func (e *Entry) receive(stream *connect.ServerStreamForClient[fleetv1.KeepEvent], address string, out send) *refusal.Refusal {
+	for stream.Receive() {
+		switch v := stream.Msg().GetEvent().(type) {
+		case *fleetv1.KeepEvent_Refusal:
+			return wire.ToRefusal(v.Refusal)
+		case *fleetv1.KeepEvent_Piece:
+			p := toPiece(v.Piece)
+			if err := out(p); err != nil {
+				return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+			}
+			if p.Completion != nil {
+				return nil
+			}
+		}
+	}
+	return keeperLost(address)
+}
+
+// delivered tells the keeper that the caller has the whole answer.
+func (e *Entry) delivered(ctx context.Context, address, keyDigest string) {
+	if ctx.Err() != nil {
+		return
+	}
+	if address == e.address {
+		e.deliver(keyDigest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deliveredTimeout)
+	defer cancel()
+	client := fleetv1.NewKeepingProtobufClient(fleet.URL(address), e.http)
+	_, _ = client.Delivered(ctx, &fleetv1.DeliveredRequest{KeyDigest: keyDigest})
+}
+
+// nextKeeper tells whether another entry may keep the key.
+func nextKeeper(why *refusal.Refusal) bool {
+	return why.Reason == refusal.Leaving || why.Reason == refusal.HomeUnreachable
+}
+
+func keeperLost(address string) *refusal.Refusal {
+	return refusal.New(refusal.RanNo, refusal.HomeUnreachable, keeperLostRetry, "the entry at %s can't be reached", address)
+}
+
+func fromGeneration(g request.Generation, offset int) *callerv1.GenerateRequest {
+	return &callerv1.GenerateRequest{
+		IdempotencyKey:  g.Key,
+		Model:           g.Model,
+		Prompt:          g.Prompt,
+		MaxOutputTokens: int32(g.MaxOutputTokens),
+		OffsetTokens:    int64(offset),
+	}
+}
+
+func toGeneration(m *fleetv1.KeepRequest) request.Generation {
+	q := m.GetRequest()
+	return request.Generation{
+		Partner:         m.GetPartner(),
+		Key:             q.GetIdempotencyKey(),
+		Rule:            m.GetRule(),
+		Model:           q.GetModel(),
+		Prompt:          q.GetPrompt(),
+		MaxOutputTokens: int(q.GetMaxOutputTokens()),
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"gooseberrypin.example/router/settings"
+)
+
+type (
+	// Settings are the settings of an entry.
+	Settings struct {
+		settings.Process
+		// CallerAddress serves partners, as IP:port.
+		CallerAddress string `json:"caller_address"`
+		// Naive switches mechanisms off by name. Only tests use it.
+		Naive []string `json:"naive,omitempty"`
+	}
+)
+
+// Check returns all faults as one error, or nil.
+func (s *Settings) Check() error {
+	var f settings.Faults
+	s.Process.Check(&f)
+	f.Address("caller_address", s.CallerAddress)
+	return f.Err()
+}
--- a/router/adapter/wire/wire.go
+++ b/router/adapter/wire/wire.go
@@ -7,6 +7,7 @@
 	callerv1 "gooseberrypin.example/gen/caller/v1"
 	fleetv1 "gooseberrypin.example/gen/fleet/v1"
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
 )
 
@@ -80,3 +81,29 @@
 func Milliseconds(ms int64) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
+
+// FromSuspects returns the messages of suspects.
+func FromSuspects(suspects []quarantine.Suspect) []*fleetv1.Suspect {
+	var list []*fleetv1.Suspect
+	for _, s := range suspects {
+		list = append(list, &fleetv1.Suspect{
+			Fingerprint:      s.Fingerprint,
+			Crashes:          int32(s.Crashes),
+			QuarantinedForMs: s.Remaining.Milliseconds(),
+		})
+	}
+	return list
+}
+
+// ToSuspects returns the suspects of messages.
+func ToSuspects(list []*fleetv1.Suspect) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
+	for _, m := range list {
+		suspects = append(suspects, quarantine.Suspect{
+			Fingerprint: m.GetFingerprint(),
+			Crashes:     int(m.GetCrashes()),
+			Remaining:   Milliseconds(m.GetQuarantinedForMs()),
+		})
+	}
+	return suspects
+}
--- a/router/claim/claim.go
+++ b/router/claim/claim.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// Homes is the number of upstreams that may hold a key's claim: the second one
+	// takes over while the first can't be reached.
+	Homes = 2
+
 	shardCount        = 16
 	defaultCapacity   = 65_536
 	defaultHorizon    = 10 * time.Minute
@@ -99,11 +103,6 @@
 func (Held) outcome()    {}
 func (Refused) outcome() {}
 
-// Home returns the upstream whose sidecar holds the claim of a key.
-func Home(keyDigest string, upstreams []string) string {
-	return rendezvous.Winner(keyDigest, upstreams)
-}
-
 // Claim makes the asking entry the keeper of a key, or names the one that is.
 func (t *Table) Claim(q Request, now time.Time) Outcome {
 	s := t.shard(q.KeyDigest)
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -21,6 +21,7 @@
 	settleTimeout       = time.Second
 	prefillTargets      = 3
 	reservationAttempts = 3
+	prefillSlack        = 500 * time.Millisecond
 )
 
 type (
@@ -49,6 +50,8 @@
 		Prefill(g *request.Generation, prompt string, avoid []string, now time.Time) (Target, *refusal.Refusal)
 		// Decode returns a decode upstream that is not to be avoided.
 		Decode(g *request.Generation, promptTokens int, suspect bool, avoid []string, now time.Time) (Target, *refusal.Refusal)
+		// Down keeps work from an upstream that can't be reached, for a short time.
+		Down(upstream string, now time.Time)
 	}
 
 	// Holdings records where attempts hold anything, so that heartbeats renew their leases.
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -74,6 +74,8 @@
 }
 
 func (w *work) prefillAt(ctx context.Context, target Target, prompt string) (port.KV, *refusal.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, w.deadline.Add(prefillSlack))
+	defer cancel()
 	stream, err := w.runner.sidecars.Prefill(ctx, target.SidecarAddress, port.Prefill{
 		Attempt:     w.job.Attempt,
 		Keeper:      w.job.Keeper,
@@ -84,7 +86,7 @@
 		Budget:      time.Until(w.deadline),
 	})
 	if err != nil {
-		return port.KV{}, unreachable(target)
+		return port.KV{}, w.unreachable(target)
 	}
 	w.runner.holdings.Add(target.SidecarAddress, w.job.Attempt)
 	defer w.runner.holdings.Remove(target.SidecarAddress, w.job.Attempt)
@@ -92,7 +94,7 @@
 	for {
 		e, err := stream.Next()
 		if err != nil {
-			return port.KV{}, unreachable(target)
+			return port.KV{}, w.unreachable(target)
 		}
 		kv, done, why := w.onPrefill(ctx, target, e)
 		if done || why != nil {
@@ -125,7 +127,7 @@
 	}
 	why, err := w.runner.sidecars.StartPrefill(ctx, target.SidecarAddress, w.job.Attempt)
 	if err != nil {
-		return unreachable(target)
+		return w.unreachable(target)
 	}
 	return why
 }
@@ -166,7 +168,7 @@
 	})
 	if err != nil {
 		w.drop(target)
-		return unreachable(target)
+		return w.unreachable(target)
 	}
 	if why != nil {
 		w.runner.holdings.Remove(target.SidecarAddress, w.job.Attempt)
@@ -185,13 +187,13 @@
 		MaxOutputTokens: w.maxOutput(),
 	})
 	if err != nil {
-		return result{why: unreachable(*w.decode), retryable: true}
+		return result{why: w.unreachable(*w.decode), retryable: true}
 	}
 	defer stream.Close()
 	for {
 		e, err := stream.Next()
 		if err != nil {
-			return result{why: unreachable(*w.decode), retryable: true}
+			return result{why: w.unreachable(*w.decode), retryable: true}
 		}
 		switch e := e.(type) {
 		case port.Tokens:
@@ -234,7 +236,8 @@
 	_ = w.runner.sidecars.Release(ctx, target.SidecarAddress, w.job.Attempt)
 }
 
-func unreachable(t Target) *refusal.Refusal {
+func (w *work) unreachable(t Target) *refusal.Refusal {
+	w.runner.route.Down(t.Upstream, time.Now())
 	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
 }
 
@@ -250,7 +253,7 @@
 // retryable tells whether a lost decode may be tried again from the start.
 func retryable(why *refusal.Refusal) bool {
 	switch why.Reason {
-	case refusal.UpstreamLost, refusal.KVLost, refusal.Leaving, refusal.WrongRole:
+	case refusal.UpstreamLost, refusal.KVLost, refusal.Leaving, refusal.WrongRole, refusal.Cancelled:
 		return true
 	}
 	return false
--- a/router/request/book.go
+++ b/router/request/book.go
@@ -127,6 +127,22 @@
 	return active, ended
 }
 
+// Undelivered returns the number of whole answers that wait for their callers.
+func (b *Book) Undelivered() int {
+	waiting := 0
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for _, r := range s.records {
+			if r.waiting() {
+				waiting++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return waiting
+}
+
 func (b *Book) sweep(s *bookShard, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,6 +170,12 @@
 	return r.state == running
 }
 
+func (r *Record) waiting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == finished && !r.delivered
+}
+
 func (r *Record) stale(now time.Time, keep, remember time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -40,6 +40,8 @@
 		grace      time.Duration
 		graceTimer *time.Timer
 		ended      time.Time
+		// forwardedTo is the entry whose answer this record copies, if any.
+		forwardedTo string
 	}
 
 	// Reader is one connection of a record.
@@ -155,11 +157,25 @@
 	return r.tokens
 }
 
-// Wanted tells whether a connection reads the record.
-func (r *Record) Wanted() bool {
+// Whole tells whether the answer is whole.
+func (r *Record) Whole() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reader != nil
+	return r.state == finished
+}
+
+// ForwardTo notes the entry whose answer this record copies.
+func (r *Record) ForwardTo(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forwardedTo = address
+}
+
+// ForwardedTo returns the entry whose answer this record copies, or "".
+func (r *Record) ForwardedTo() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.forwardedTo
 }
 
 // Next waits for the next piece. The last piece has the completion.
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -98,3 +98,8 @@
 	_, _ = h.Write([]byte(strconv.Itoa(len(part)) + ":"))
 	_, _ = h.Write([]byte(part))
 }
+
+// CallDigest identifies what a call asks for, whatever its key, in hexadecimal.
+func CallDigest(service, path string, body []byte) string {
+	return digest(service, path, string(body))
+}
--- /dev/null
+++ b/router/route/keeper.go
@@ -0,0 +1,83 @@
+package route
+
+import (
+	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/rendezvous"
+	"gooseberrypin.example/router/vm"
+)
+
+const (
+	keeperChoices = 3
+)
+
+type (
+	// Keeper is an entry that may keep a request.
+	Keeper struct {
+		VM      string
+		Address string
+	}
+)
+
+// Keepers ranks the live entries of the region for a key. This entry is always known.
+func (r *Router) Keepers(keyDigest string) []Keeper {
+	addresses := map[string]string{r.self.VM: r.self.Address}
+	names := []string{r.self.VM}
+	for _, v := range r.vms.Current().VMs {
+		if v.Role != vm.RoleEntry || v.Region != r.self.Region || v.State != vm.Live || v.Name == r.self.VM {
+			continue
+		}
+		addresses[v.Name] = v.FleetAddress
+		names = append(names, v.Name)
+	}
+	var keepers []Keeper
+	for _, name := range rendezvous.Rank(keyDigest, names, keeperChoices) {
+		keepers = append(keepers, Keeper{VM: name, Address: addresses[name]})
+	}
+	return keepers
+}
+
+// Entries returns the fleet addresses of the region's other entries.
+func (r *Router) Entries() []string {
+	var addresses []string
+	for _, v := range r.vms.Current().VMs {
+		if v.Role == vm.RoleEntry && v.Region == r.self.Region && v.Name != r.self.VM {
+			addresses = append(addresses, v.FleetAddress)
+		}
+	}
+	return addresses
+}
+
+// ClaimHomes returns the sidecars that may hold a key's claim, the home first. Homes
+// follow from the configuration alone, so that all entries agree.
+func (r *Router) ClaimHomes(model, keyDigest string) []*configuration.Upstream {
+	index, rule, why := r.rule(model)
+	if why != nil {
+		return nil
+	}
+	var homes []*configuration.Upstream
+	for _, name := range rendezvous.Rank(keyDigest, staying(index, rule.DecodePool), claim.Homes) {
+		homes = append(homes, index.Upstream(name))
+	}
+	return homes
+}
+
+// BookingHome returns the one upstream of a pool that may run a key, or nil.
+func (r *Router) BookingHome(pool, keyDigest string) *configuration.Upstream {
+	s := r.store.Current()
+	if s == nil {
+		return nil
+	}
+	return s.Index.Upstream(rendezvous.Winner(keyDigest, staying(s.Index, pool)))
+}
+
+// staying returns the members of a pool that the configuration does not send away.
+func staying(index *configuration.Index, pool string) []string {
+	var names []string
+	for _, u := range index.Members(pool) {
+		if !u.Leaving {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -127,3 +127,10 @@
 	}
 	return eris.New("settings: " + strings.Join(f.List, "; "))
 }
+
+// Override replaces a setting by a flag that was given.
+func Override(setting *string, flag string) {
+	if flag != "" {
+		*setting = flag
+	}
+}
