--- /dev/null
+++ b/router/configuration/manifest.go
@@ -0,0 +1,215 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"gooseberrypin.example/router/label"
+)
+
+const (
+	// MaxPartBytes is the largest part that the platform can hold.
+	MaxPartBytes = 1_000_000
+	// MaxManifestBytes bounds a manifest likewise.
+	MaxManifestBytes = 1_000_000
+	// MaxParts bounds the parts of a manifest.
+	MaxParts = 1024
+)
+
+type (
+	// Manifest names the parts of one revision.
+	Manifest struct {
+		Revision int64           `json:"revision"`
+		Parts    []PartReference `json:"parts"`
+	}
+
+	// PartReference names a part by its content.
+	PartReference struct {
+		Name   string `json:"name"`
+		SHA256 string `json:"sha256"`
+		Bytes  int64  `json:"bytes"`
+	}
+
+	// part is a JSON object with some of the configuration.
+	part struct {
+		Upstreams []Upstream `json:"upstreams,omitempty"`
+		Pools     []Pool     `json:"pools,omitempty"`
+		Rules     []Rule     `json:"rules,omitempty"`
+		Partners  []Partner  `json:"partners,omitempty"`
+		Limits    *Limits    `json:"limits,omitempty"`
+	}
+)
+
+// Digest returns the SHA-256 of a manifest or part, in hexadecimal.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// ReadManifest reads a manifest and returns all faults of its content.
+func ReadManifest(content []byte) (*Manifest, []Fault) {
+	if len(content) > MaxManifestBytes {
+		return nil, []Fault{{Path: "manifest", Text: fmt.Sprintf("%d bytes, more than %d", len(content), MaxManifestBytes)}}
+	}
+	m := &Manifest{}
+	f := &faults{}
+	decode(content, m, "manifest", f)
+	if len(f.list) == 0 {
+		m.check(f)
+	}
+	return m, f.list
+}
+
+func (m *Manifest) check(f *faults) {
+	if m.Revision < 1 {
+		f.addf("manifest.revision", "%d is below 1", m.Revision)
+	}
+	if len(m.Parts) == 0 {
+		f.addf("manifest.parts", "empty")
+	}
+	if len(m.Parts) > MaxParts {
+		f.addf("manifest.parts", "%d parts, more than %d", len(m.Parts), MaxParts)
+	}
+	names := make(map[string]bool, len(m.Parts))
+	for i, p := range m.Parts {
+		path := fmt.Sprintf("manifest.parts[%d]", i)
+		if !label.ValidWord(p.Name) {
+			f.addf(path+".name", "%q is not a name", p.Name)
+		}
+		if names[p.Name] {
+			f.addf(path+".name", "%q stands twice", p.Name)
+		}
+		names[p.Name] = true
+		if !validDigest(p.SHA256) {
+			f.addf(path+".sha256", "%q is not a SHA-256 in hexadecimal", p.SHA256)
+		}
+		if p.Bytes < 1 || p.Bytes > MaxPartBytes {
+			f.addf(path+".bytes", "%d is not within 1 to %d", p.Bytes, MaxPartBytes)
+		}
+	}
+}
+
+// Missing returns the references, once each, whose content is not in parts.
+func (m *Manifest) Missing(parts map[string][]byte) []PartReference {
+	var missing []PartReference
+	for _, p := range m.Parts {
+		_, found := parts[p.SHA256]
+		listed := slices.ContainsFunc(missing, func(other PartReference) bool { return other.SHA256 == p.SHA256 })
+		if !found && !listed {
+			missing = append(missing, p)
+		}
+	}
+	return missing
+}
+
+// Build checks a manifest and its parts, which are found by their SHA-256, and returns
+// the snapshot or all faults. The result depends on the content alone.
+func Build(manifest []byte, parts map[string][]byte) (*Snapshot, []Fault) {
+	m, list := ReadManifest(manifest)
+	if len(list) > 0 {
+		return nil, list
+	}
+	f := &faults{}
+	c := merge(m, parts, f)
+	if len(f.list) > 0 {
+		return nil, f.list
+	}
+	c.check(f)
+	if len(f.list) > 0 {
+		return nil, f.list
+	}
+	index, err := NewIndex(c)
+	if err != nil {
+		return nil, []Fault{{Path: "pools", Text: err.Error()}}
+	}
+	return &Snapshot{
+		Revision: m.Revision,
+		Digest:   Digest(manifest),
+		Manifest: manifest,
+		Parts:    m.only(parts),
+		Index:    index,
+	}, nil
+}
+
+// only returns the manifest's own parts.
+func (m *Manifest) only(parts map[string][]byte) map[string][]byte {
+	own := make(map[string][]byte, len(m.Parts))
+	for _, p := range m.Parts {
+		own[p.SHA256] = parts[p.SHA256]
+	}
+	return own
+}
+
+// merge joins the parts in the manifest's order.
+func merge(m *Manifest, parts map[string][]byte, f *faults) *Configuration {
+	c := &Configuration{Revision: m.Revision}
+	limitsIn := ""
+	for _, reference := range m.Parts {
+		content, found := parts[reference.SHA256]
+		if !checkContent(reference, content, found, f) {
+			continue
+		}
+		p := part{}
+		decode(content, &p, "parts."+reference.Name, f)
+		c.Upstreams = append(c.Upstreams, p.Upstreams...)
+		c.Pools = append(c.Pools, p.Pools...)
+		c.Rules = append(c.Rules, p.Rules...)
+		c.Partners = append(c.Partners, p.Partners...)
+		if p.Limits == nil {
+			continue
+		}
+		if limitsIn != "" {
+			f.addf("parts."+reference.Name+".limits", "stand in part %q as well", limitsIn)
+		}
+		limitsIn = reference.Name
+		c.Limits = *p.Limits
+	}
+	return c
+}
+
+func checkContent(reference PartReference, content []byte, found bool, f *faults) bool {
+	path := "parts." + reference.Name
+	if !found {
+		f.addf(path, "missing")
+		return false
+	}
+	if int64(len(content)) != reference.Bytes {
+		f.addf(path, "%d bytes, the manifest says %d", len(content), reference.Bytes)
+		return false
+	}
+	if Digest(content) != reference.SHA256 {
+		f.addf(path, "the SHA-256 differs from the manifest's")
+		return false
+	}
+	return true
+}
+
+// Read reads a whole configuration from one JSON value, as operators write it, and
+// returns all faults of its content.
+func Read(content []byte) (*Configuration, []Fault) {
+	c := &Configuration{}
+	f := &faults{}
+	decode(content, c, "", f)
+	if len(f.list) > 0 {
+		return nil, f.list
+	}
+	if c.Revision < 1 {
+		f.addf("revision", "%d is below 1", c.Revision)
+	}
+	c.check(f)
+	if len(f.list) > 0 {
+		return nil, f.list
+	}
+	return c, nil
+}
+
+func marshal(value any) []byte {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic("configuration: plain data can't be marshalled: " + err.Error())
+	}
+	return content
+}
