--- /dev/null
+++ b/sidecar/engine/watch.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = time.Second
+	sweepInterval = 500 * time.Millisecond
+	// orphanGrace is how long a stream without an attempt may wait for its keeper's heartbeat.
+	orphanGrace = 2 * time.Second
+	lostRetry   = 200 * time.Millisecond
+)
+
+// execute notes that a work is at the engine, for the case that the engine dies.
+func (c *Controller) execute(w *work) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.executing[w] = c.epoch
+	return c.epoch
+}
+
+func (c *Controller) executed(w *work) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.executing, w)
+}
+
+// failed turns an engine's error into a refusal. The first one that tells of a dead
+// engine reports all that ran on it as suspects.
+func (c *Controller) failed(ctx context.Context, err error, epoch int) *refusal.Refusal {
+	var fault *port.EngineError
+	if !errors.As(err, &fault) {
+		return refusal.New(refusal.RanUnknown, refusal.UpstreamLost, lostRetry, "%s", err)
+	}
+	switch fault.Fault {
+	case port.EngineKVGone:
+		return refusal.New(refusal.RanNo, refusal.KVLost, queueRetry, "%s", fault.Message)
+	case port.EngineFull:
+		return refusal.New(refusal.RanNo, refusal.Overloaded, queueRetry, "the engine has no free memory")
+	case port.EngineConflict, port.EngineRefused:
+		return refusal.New(refusal.RanNo, refusal.WrongRole, roleRetry, "%s", fault.Message)
+	case port.EngineLost:
+	}
+	ran := refusal.RanUnknown
+	if !fault.Sent {
+		ran = refusal.RanNo
+	}
+	if ctx.Err() == nil {
+		c.lost(epoch)
+	}
+	return refusal.New(ran, refusal.UpstreamLost, lostRetry, "the engine died: %s", fault.Message)
+}
+
+// lost reports the end of an engine once.
+func (c *Controller) lost(epoch int) {
+	c.mu.Lock()
+	if epoch != c.epoch {
+		c.mu.Unlock()
+		return
+	}
+	c.epoch++
+	c.down = true
+	c.counters.EnginesLost++
+	fingerprints := make([]string, 0, len(c.executing))
+	for w, since := range c.executing {
+		if since == epoch {
+			fingerprints = append(fingerprints, w.fingerprint)
+		}
+	}
+	c.suspects.Report(fingerprints, time.Now())
+	c.mu.Unlock()
+	c.log.Info(event.EngineLost, "upstream", c.settings.Upstream)
+	if len(fingerprints) > 0 {
+		c.log.Info(event.Suspected, "fingerprints", fingerprints)
+		c.push()
+	}
+}
+
+// probe reads the engine's report; a refused connection tells of its death.
+func (c *Controller) probe(ctx context.Context) {
+	c.mu.Lock()
+	epoch := c.epoch
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	load, err := c.engine.Load(ctx)
+	var fault *port.EngineError
+	if errors.As(err, &fault) && !fault.Sent {
+		c.unreachable(epoch)
+		return
+	}
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	found := c.down
+	c.down = false
+	c.load, c.loadAt = load, time.Now()
+	c.mu.Unlock()
+	c.pace.Observe(load.Running, time.Duration(load.StepUS)*time.Microsecond)
+	if found {
+		c.log.Info(event.EngineFound, "upstream", c.settings.Upstream)
+	}
+}
+
+func (c *Controller) unreachable(epoch int) {
+	c.mu.Lock()
+	known := c.down
+	c.mu.Unlock()
+	if !known {
+		c.lost(epoch)
+	}
+}
+
+// sweep cancels streams of the engine that no attempt holds. A restarted process thereby
+// frees what its predecessor left.
+func (c *Controller) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	list, err := c.engine.Streams(ctx)
+	if err != nil || c.naive.KeepsOrphans {
+		return
+	}
+	for _, id := range c.overdueOrphans(list, time.Now()) {
+		if err := c.engine.Cancel(ctx, id); err != nil {
+			c.cancelFailed(err, id)
+			continue
+		}
+		c.count(func(n *Counters) { n.OrphansCancelled++ })
+		c.log.Info(event.OrphanCancelled, "stream_id", id)
+	}
+}
+
+func (c *Controller) overdueOrphans(list []port.EngineStream, now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen := make(map[string]time.Time)
+	var overdue []string
+	for _, s := range list {
+		a := toAttempt(s.StreamID)
+		w := c.works[a.KeyDigest]
+		if (w != nil && w.attempt == a) || c.isExecuting(s.StreamID) {
+			continue
+		}
+		since, known := c.orphans[s.StreamID]
+		if !known {
+			since = now
+		}
+		seen[s.StreamID] = since
+		if now.Sub(since) >= orphanGrace {
+			overdue = append(overdue, s.StreamID)
+		}
+	}
+	c.orphans = seen
+	return overdue
+}
+
+func (c *Controller) isExecuting(item string) bool {
+	for w := range c.executing {
+		if w.item == item {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) cancelFailed(err error, streamID string) {
+	c.log.Error(err, event.CancelFailed, "stream_id", streamID)
+}
