Clear suspects whose answer became whole

Cause: a neighbour of a crash stays a suspect for the whole term; the next crash beside it would then be blamed on it alone, and the content that really crashes would go free. Ruled out: forgetting the entry, as the next heartbeat of another process brings it back. A cleared entry replaces a suspected one wherever they meet; quarantine outranks both.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -40,7 +40,7 @@
 
 // Passed implements generation.Crashes.
 func (c *crashes) Passed(fingerprint string) {
-	c.table.Clear(fingerprint)
+	c.table.Clear(fingerprint, time.Now())
 }
 
 // check refuses quarantined content.
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -181,6 +181,7 @@
 		Attempt:     a,
 		Keeper:      e.id,
 		Home:        home,
+		Suspect:     e.crashes.suspected(r.Generation.Fingerprint(), time.Now()),
 	})
 	if r.Whole() || home == "" {
 		return
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -52,6 +52,7 @@
 	Option func(*Table)
 
 	entry struct {
+		// crashes is zero for content that was cleared.
 		crashes int
 		expires time.Time
 	}
@@ -113,7 +114,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, found := t.entries[fingerprint]
-	if !found || now.After(e.expires) {
+	if !found || e.crashes == 0 || now.After(e.expires) {
 		return Free{}
 	}
 	if e.crashes < crashesToQuarantine {
@@ -122,6 +123,16 @@
 	return Quarantined{Remaining: e.expires.Sub(now)}
 }
 
+// Clear frees suspected content after a whole answer. Quarantined content stays so.
+func (t *Table) Clear(fingerprint string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, found := t.entries[fingerprint]
+	if found && e.crashes < crashesToQuarantine {
+		t.put(fingerprint, entry{expires: now.Add(t.term)})
+	}
+}
+
 // Suspects returns the entries in the order of their fingerprints.
 func (t *Table) Suspects(now time.Time) []Suspect {
 	t.mu.Lock()
@@ -135,22 +146,38 @@
 	return list
 }
 
-// Merge takes the entries of another table. The higher number of crashes wins.
+// Merge takes the entries of another table.
 func (t *Table) Merge(suspects []Suspect, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
 	for _, s := range suspects {
-		known := t.entries[s.Fingerprint]
 		expires := now.Add(s.Remaining)
-		later := expires.Sub(known.expires) > mergeTolerance
-		if s.Remaining <= 0 || s.Crashes < known.crashes || (s.Crashes == known.crashes && !later) {
+		if s.Remaining <= 0 || !t.supersedes(s, expires) {
 			continue
 		}
 		t.put(s.Fingerprint, entry{crashes: s.Crashes, expires: expires})
 	}
 }
 
+// supersedes tells whether what another table knows replaces the own entry. A cleared
+// entry replaces a suspected one, and only quarantine replaces a cleared one.
+func (t *Table) supersedes(s Suspect, expires time.Time) bool {
+	known, found := t.entries[s.Fingerprint]
+	if !found {
+		return true
+	}
+	switch {
+	case s.Crashes == known.crashes:
+		return expires.Sub(known.expires) > mergeTolerance
+	case s.Crashes == 0:
+		return known.crashes < crashesToQuarantine
+	case known.crashes == 0:
+		return s.Crashes >= crashesToQuarantine
+	}
+	return s.Crashes > known.crashes
+}
+
 func (t *Table) forget(now time.Time) {
 	for fingerprint, e := range t.entries {
 		if now.After(e.expires) {
