--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 MODULES := gen router entry sidecar gooseberryctl standin scenario
 CHECKED := router entry sidecar gooseberryctl standin scenario
 GOLANGCI_VERSION := v2.15.0
+# Property tests draw the same cases each time.
+export RAPID_SEED := 1
+export RAPID_NOFAILFILE := true
 GOBIN := $(shell go env GOPATH)/bin
 
 .PHONY: build demo test format lint vet race scenarios bench-policy bench-capacity generate tools known-red
--- /dev/null
+++ b/router/generation/generation_test.go
@@ -0,0 +1,243 @@
+package generation_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/generation"
+	"gooseberrypin.example/router/lease"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+var errLost = eris.New("connection lost")
+
+type (
+	// fake scripts two prefill and two decode sidecars and records what is held.
+	fake struct {
+		prefills  []any // one for each Prefill: a port.PrefillEvent that ends it, or an error
+		reserves  []*refusal.Refusal
+		decodes   [][]any // events, or an error that ends the stream
+		prompts   []string
+		reserved  map[string]int
+		calls     []string
+		unsettled bool
+	}
+	prefillStream struct {
+		events []any
+	}
+	decodeStream struct {
+		ctx    context.Context
+		events []any
+	}
+	routes    struct{ f *fake }
+	crashes   struct{ count int }
+	noRetries struct{ left int }
+)
+
+func (f *fake) Prefill(_ context.Context, address string, p port.Prefill) (port.PrefillStream, error) {
+	f.calls = append(f.calls, "prefill "+address)
+	f.prompts = append(f.prompts, p.Prompt)
+	end := f.prefills[0]
+	f.prefills = f.prefills[1:]
+	if err, ok := end.(error); ok {
+		return nil, err
+	}
+	return &prefillStream{events: []any{port.Queued{}, port.AtHead{}, end}}, nil
+}
+
+func (f *fake) StartPrefill(context.Context, string, port.Attempt) (*refusal.Refusal, error) {
+	return nil, nil
+}
+
+func (f *fake) Reserve(_ context.Context, address string, _ port.Reservation) (port.Load, *refusal.Refusal, error) {
+	f.calls = append(f.calls, "reserve "+address)
+	var why *refusal.Refusal
+	if len(f.reserves) > 0 {
+		why, f.reserves = f.reserves[0], f.reserves[1:]
+	}
+	if why == nil {
+		f.reserved[address]++
+	}
+	return port.Load{}, why, nil
+}
+
+func (f *fake) Release(_ context.Context, address string, _ port.Attempt) error {
+	f.reserved[address] = 0
+	return nil
+}
+
+func (f *fake) Decode(ctx context.Context, address string, _ port.Decode) (port.DecodeStream, error) {
+	f.calls = append(f.calls, "decode "+address)
+	events := f.decodes[0]
+	f.decodes = f.decodes[1:]
+	return &decodeStream{ctx: ctx, events: events}, nil
+}
+
+func (f *fake) Claim(context.Context, string, claim.Request) (claim.Outcome, error) {
+	return claim.Granted{Number: 1}, nil
+}
+
+func (f *fake) Settle(context.Context, string, port.Attempt, string, bool) (bool, error) {
+	return !f.unsettled, nil
+}
+
+func (s *prefillStream) Next() (port.PrefillEvent, error) {
+	e := s.events[0]
+	s.events = s.events[1:]
+	return e.(port.PrefillEvent), nil
+}
+
+func (s *prefillStream) Close() {}
+
+func (s *decodeStream) Next() (port.DecodeEvent, error) {
+	if len(s.events) == 0 {
+		<-s.ctx.Done()
+		return nil, s.ctx.Err()
+	}
+	e := s.events[0]
+	s.events = s.events[1:]
+	if err, ok := e.(error); ok {
+		return nil, err
+	}
+	return e.(port.DecodeEvent), nil
+}
+
+func (s *decodeStream) Close() {}
+
+func pick(kind string, avoid []string) generation.Target {
+	for n := 1; ; n++ {
+		name := fmt.Sprintf("%s%d", kind, n)
+		if !slices.Contains(avoid, name) {
+			return generation.Target{Upstream: name, SidecarAddress: name}
+		}
+	}
+}
+
+func (r routes) Prefill(_ *request.Generation, _ string, avoid []string, _ time.Time) (generation.Target, *refusal.Refusal) {
+	return pick("p", avoid), nil
+}
+
+func (r routes) Decode(_ *request.Generation, _ int, _ bool, avoid []string, _ time.Time) (generation.Target, *refusal.Refusal) {
+	return pick("d", avoid), nil
+}
+
+func (routes) Down(string, time.Time) {}
+
+func (c *crashes) Crashed(string, time.Time) *refusal.Refusal {
+	if c.count++; c.count > 1 {
+		return refusal.New(refusal.RanYes, refusal.Quarantined, time.Minute, "crashes")
+	}
+	return nil
+}
+
+func (c *crashes) Passed(string) {}
+
+func (n *noRetries) Try() {}
+
+func (n *noRetries) Allow() bool {
+	n.left--
+	return n.left >= 0
+}
+
+func TestRun(t *testing.T) {
+	done := port.Prefilled{KV: port.KV{Handle: "h"}}
+	lost := port.Refused{Refusal: refusal.New(refusal.RanYes, refusal.UpstreamLost, 0, "died")}
+	full := refusal.New(refusal.RanNo, refusal.Overloaded, time.Second, "full")
+	leaving := port.Refused{Refusal: refusal.New(refusal.RanNo, refusal.Leaving, 0, "leaving")}
+	whole := []any{port.Tokens{Texts: []string{"a ", "b"}}, port.Finished{Reason: "stop"}}
+	cases := map[string]struct {
+		fake    fake
+		retries int
+		text    string
+		reason  refusal.Reason
+		calls   string
+	}{
+		"whole": {
+			fake: fake{prefills: []any{done}, decodes: [][]any{whole}},
+			text: "a b", calls: "prefill p1,reserve d1,decode d1",
+		},
+		"a refused prefill costs another upstream's try only": {
+			fake: fake{prefills: []any{leaving, errLost, done}, decodes: [][]any{whole}},
+			text: "a b", calls: "prefill p1,reserve d1,prefill p2,prefill p3,decode d1",
+		},
+		"no memory ends before any prefill": {
+			fake:   fake{prefills: []any{done}, reserves: []*refusal.Refusal{full, full, full}},
+			reason: refusal.Overloaded, calls: "prefill p1,reserve d1,reserve d2,reserve d3",
+		},
+		"a lost decode continues from the answer so far": {
+			fake: fake{prefills: []any{done, done}, decodes: [][]any{
+				{port.Tokens{Texts: []string{"a "}}, errLost},
+				{port.Tokens{Texts: []string{"b"}}, port.Finished{Reason: "stop"}},
+			}},
+			retries: 1, text: "a b", calls: "prefill p1,reserve d1,decode d1,prefill p1,reserve d1,decode d1",
+		},
+		"no budget, no retry": {
+			fake:   fake{prefills: []any{done}, decodes: [][]any{{errLost}}},
+			reason: refusal.UpstreamLost, calls: "prefill p1,reserve d1,decode d1",
+		},
+		"two crashes quarantine": {
+			fake:    fake{prefills: []any{done, done, done}, decodes: [][]any{{lost}, {lost}}},
+			retries: 5, reason: refusal.Quarantined, calls: "prefill p1,reserve d1,decode d1,prefill p1,reserve d1,decode d1",
+		},
+		"a crashed prefill is not tried elsewhere at once": {
+			fake:   fake{prefills: []any{lost}},
+			reason: refusal.UpstreamLost, calls: "prefill p1,reserve d1",
+		},
+		"an answer whose claim was lost is not ended here": {
+			fake:   fake{prefills: []any{done}, decodes: [][]any{whole}, unsettled: true},
+			reason: refusal.Superseded, calls: "prefill p1,reserve d1,decode d1",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &c.fake
+				f.reserved = make(map[string]int)
+				holdings := lease.NewHoldings()
+				runner := generation.NewRunner(f, routes{f}, holdings, &crashes{}, &noRetries{left: c.retries})
+				g := request.Generation{Partner: "p", Key: "k", Model: "m", Prompt: "question "}
+				r, _, _ := request.NewBook().Open(g, time.Now())
+				reader, _ := r.Join(0)
+				runner.Run(t.Context(), r, generation.Job{Generation: g})
+				text, why := readAll(t.Context(), reader)
+				if c.reason != 0 {
+					is.True(why != nil)
+					is.Equal(why.Reason, c.reason)
+				} else {
+					is.True(why == nil)
+					is.Equal(text, c.text)
+				}
+				is.Equal(strings.Join(f.calls, ","), c.calls)
+				is.Equal(len(holdings.Addresses()), 0)
+				for address, n := range f.reserved {
+					is.Equal(address+fmt.Sprint(n), address+"0") // nothing stays reserved
+				}
+				if len(f.prompts) == 2 && c.text != "" {
+					is.Equal(f.prompts[1], "question a ")
+				}
+			})
+		})
+	}
+}
+
+func readAll(ctx context.Context, d *request.Reader) (text string, why *refusal.Refusal) {
+	for {
+		p, why := d.Next(ctx)
+		text += strings.Join(p.Tokens, "")
+		if why != nil || p.Completion != nil {
+			return text, why
+		}
+	}
+}
