Serve the engine sidecar as a process

Cause: the whole path needs the sidecar as a process: settings, fleet handlers, heartbeats with the configuration's view, drain and the operators' pages. Ruled out: naming the lease by the process's name alone; a keeper is one run of an entry.

--- a/sidecar/engine/work.go
+++ b/sidecar/engine/work.go
@@ -75,7 +75,7 @@
 	c.settle(now)
 	w := c.works[a.KeyDigest]
 	newer := w != nil && w.attempt.Number > a.Number
-	if newer || c.closed[a.KeyDigest].number >= a.Number {
+	if newer || c.closed[a.KeyDigest].number > a.Number {
 		c.counters.Refused++
 		return nil, refusal.New(refusal.RanNo, refusal.StaleAttempt, 0, "a newer attempt replaced this one")
 	}
@@ -87,8 +87,8 @@
 	if w == nil {
 		w = c.newWork(a, keeper, fingerprint, now)
 	}
-	if w.phases&p != 0 && p != reserved {
-		return nil, refusal.New(refusal.RanNo, refusal.InProgress, 0, "the attempt already runs")
+	if w.phases&decoding != 0 || (w.phases&p != 0 && p != reserved) {
+		return nil, refusal.New(refusal.RanNo, refusal.InProgress, queueRetry, "the attempt already runs")
 	}
 	w.phases |= p
 	return w, nil
@@ -129,7 +129,7 @@
 	}
 }
 
-// close refuses later calls of an attempt, such as one that crossed its release.
+// close refuses later calls of older attempts.
 func (c *Controller) close(a port.Attempt) {
 	number := max(a.Number, c.closed[a.KeyDigest].number)
 	c.closed[a.KeyDigest] = closure{number: number, until: time.Now().Add(closureTerm)}
--- /dev/null
+++ b/sidecar/peers.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/peer"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/vm"
+)
+
+const (
+	pushTimeout = 300 * time.Millisecond
+	pushWorkers = 16
+)
+
+type (
+	// peers serves the twirp service Peers.
+	peers struct {
+		*peer.Publisher
+		sidecar *Sidecar
+	}
+)
+
+// Heartbeat implements the service Peers.
+func (p *peers) Heartbeat(_ context.Context, q *fleetv1.HeartbeatRequest) (*fleetv1.HeartbeatResponse, error) {
+	c := p.sidecar
+	now := time.Now()
+	c.suspects.Merge(toSuspects(q.GetSuspects()), now)
+	if q.GetView() != nil {
+		c.reader.Offer(q.GetFrom().GetFleetAddress(), peer.ToView(q.GetView()))
+	}
+	return &fleetv1.HeartbeatResponse{
+		Process:  c.process(),
+		View:     peer.FromView(c.reader.View()),
+		Load:     c.load(),
+		Suspects: fromSuspects(c.suspects.Suspects(now)),
+		Lost:     c.renew(q),
+	}, nil
+}
+
+// renew keeps the attempts that a keeper lists, ends its others and returns the unknown ones.
+func (c *Sidecar) renew(q *fleetv1.HeartbeatRequest) []*fleetv1.Attempt {
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		wanted := make([]port.Attempt, 0, len(q.GetAttempts()))
+		for _, a := range q.GetAttempts() {
+			wanted = append(wanted, wire.ToAttempt(a))
+		}
+		var lost []*fleetv1.Attempt
+		for _, a := range u.controller.Heartbeat(q.GetFrom().GetName(), wanted) {
+			lost = append(lost, wire.FromAttempt(a))
+		}
+		return lost
+	}
+	return nil
+}
+
+func (c *Sidecar) process() *fleetv1.Process {
+	address, _ := c.fleetAddress.Load().(string)
+	return &fleetv1.Process{
+		Name:          c.settings.Name,
+		Kind:          processKind,
+		FleetAddress:  address,
+		DataCentre:    c.settings.DataCentre,
+		StartedUnixMs: c.started.UnixMilli(),
+		Draining:      c.draining.Load(),
+	}
+}
+
+// pushSuspects tells all entries of new suspects, as a caller resends at once.
+func (c *Sidecar) pushSuspects() {
+	message := &fleetv1.HeartbeatRequest{
+		From:     c.process(),
+		View:     peer.FromView(c.reader.View()),
+		Suspects: fromSuspects(c.suspects.Suspects(time.Now())),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	slots := make(chan struct{}, pushWorkers)
+	var wg sync.WaitGroup
+	for _, v := range c.vms.Current().VMs {
+		if v.Role != vm.RoleEntry || v.FleetAddress == "" {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(v.FleetAddress), c.client).Heartbeat(ctx, message)
+		})
+	}
+	wg.Wait()
+}
+
+func fromSuspects(list []quarantine.Suspect) []*fleetv1.Suspect {
+	messages := make([]*fleetv1.Suspect, 0, len(list))
+	for _, s := range list {
+		messages = append(messages, &fleetv1.Suspect{
+			Fingerprint:      s.Fingerprint,
+			Crashes:          int32(s.Crashes),
+			QuarantinedForMs: s.Remaining.Milliseconds(),
+		})
+	}
+	return messages
+}
+
+func toSuspects(messages []*fleetv1.Suspect) []quarantine.Suspect {
+	list := make([]quarantine.Suspect, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, quarantine.Suspect{
+			Fingerprint: m.GetFingerprint(),
+			Crashes:     int(m.GetCrashes()),
+			Remaining:   wire.Milliseconds(m.GetQuarantinedForMs()),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/sidecar/serve.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/event"
+)
+
+const (
+	maxDrain        = 15 * time.Minute
+	shutdownTimeout = 2 * time.Second
+)
+
+// Serve listens and works until stop is closed and what runs has ended.
+func (c *Sidecar) Serve(stop <-chan struct{}) error {
+	fleetListener, err := net.Listen("tcp", c.settings.FleetAddress)
+	if err != nil {
+		return eris.Wrap(err, "fleet_address")
+	}
+	operatorListener, err := net.Listen("tcp", c.settings.OperatorAddress)
+	if err != nil {
+		_ = fleetListener.Close()
+		return eris.Wrap(err, "operator_address")
+	}
+	c.SetFleetAddress(fleetListener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	drain := make(chan struct{})
+	var once sync.Once
+	startDrain := func() { once.Do(func() { close(drain) }) }
+	fleetServer := fleet.NewServer(c.Handler())
+	operatorServer := fleet.NewServer(c.OperatorHandler(startDrain))
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(ctx) })
+	wg.Go(func() { c.serve(fleetServer, fleetListener) })
+	wg.Go(func() { c.serve(operatorServer, operatorListener) })
+	c.log.Info(event.Listening,
+		"fleet_address", fleetListener.Addr().String(),
+		"operator_address", operatorListener.Addr().String())
+	select {
+	case <-stop:
+	case <-drain:
+	}
+	c.finish()
+	shutdown(fleetServer)
+	shutdown(operatorServer)
+	cancel()
+	wg.Wait()
+	c.log.Info(event.Stopped)
+	return nil
+}
+
+func (c *Sidecar) finish() {
+	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
+	defer cancel()
+	c.Drain()
+	c.AwaitIdle(ctx)
+}
+
+func (c *Sidecar) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !eris.Is(err, http.ErrServerClosed) {
+		c.log.Error(err, event.ServeFailed, "address", l.Addr().String())
+	}
+}
+
+// shutdown lets answers on the way end, and closes what stays open after that.
+func shutdown(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -1,2 +1,273 @@
 // Package sidecar stands beside one upstream and owns its memory, its leases and its bookings.
 package sidecar
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	"gooseberrypin.example/router/access"
+	engineclient "gooseberrypin.example/router/adapter/engine"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/operator"
+	"gooseberrypin.example/router/adapter/peer"
+	"gooseberrypin.example/router/adapter/platform"
+	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/subscription"
+	"gooseberrypin.example/router/vm"
+	"gooseberrypin.example/sidecar/engine"
+)
+
+const (
+	idleInterval = 20 * time.Millisecond
+	processKind  = "sidecar"
+)
+
+type (
+	// Sidecar is one process's core. Many may run in one process.
+	Sidecar struct {
+		settings     Settings
+		log          event.Log
+		random       *rand.Rand
+		started      time.Time
+		engine       port.Engine
+		platform     port.Platform
+		client       *http.Client
+		keys         access.FleetKeys
+		store        *configuration.Store
+		vms          *vm.Table
+		reader       *subscription.Reader
+		suspects     *quarantine.Table
+		upstream     upstream
+		metrics      *expvar.Map
+		draining     atomic.Bool
+		fleetAddress atomic.Value
+	}
+
+	// upstream is modelEngine or plainService.
+	//
+	//sumtype:decl
+	upstream interface{ upstream() }
+
+	modelEngine struct{ controller *engine.Controller }
+
+	// Option changes what a sidecar is built from.
+	Option func(*Sidecar)
+
+	// State is the state dump.
+	State struct {
+		Process       settingsState        `json:"process"`
+		Configuration subscription.State   `json:"configuration"`
+		Engine        *engine.State        `json:"engine,omitempty"`
+		Service       any                  `json:"service,omitempty"`
+		Suspects      []quarantine.Suspect `json:"suspects"`
+	}
+
+	settingsState struct {
+		Name       string    `json:"name"`
+		Kind       string    `json:"kind"`
+		VM         string    `json:"vm"`
+		Region     string    `json:"region"`
+		DataCentre string    `json:"data_centre"`
+		Upstream   string    `json:"upstream"`
+		Started    time.Time `json:"started"`
+		Draining   bool      `json:"draining"`
+	}
+)
+
+// NewSidecar returns a sidecar of checked settings. It works once Run is called.
+func NewSidecar(s Settings, random *rand.Rand, log event.Log, options ...Option) *Sidecar {
+	c := &Sidecar{
+		settings: s,
+		log:      log,
+		random:   random,
+		started:  time.Now(),
+		keys:     access.NewFleetKeys(s.FleetKeys...),
+		engine:   engineclient.NewClient(s.UpstreamAddress, s.OrderKey),
+		platform: platform.NewClient(s.PlatformAddress, http.DefaultClient),
+		store:    configuration.NewStore(),
+		vms:      vm.NewTable(),
+		suspects: quarantine.NewTable(),
+		metrics:  new(expvar.Map).Init(),
+	}
+	c.client = fleet.NewClient(c.keys, s.DialOverrides)
+	c.SetFleetAddress(s.FleetAddress)
+	for _, o := range options {
+		o(c)
+	}
+	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, peer.NewClient(c.client), c.store, c.vms, c.fork(), log)
+	c.upstream = c.newUpstream()
+	c.publishMetrics()
+	return c
+}
+
+// WithEngine sets the way to the engine, for tests.
+func WithEngine(e port.Engine) Option {
+	return func(c *Sidecar) { c.engine = e }
+}
+
+// WithPlatform sets the way to the platform, for tests.
+func WithPlatform(p port.Platform) Option {
+	return func(c *Sidecar) { c.platform = p }
+}
+
+func (modelEngine) upstream() {}
+
+// SetFleetAddress sets the address that other processes see, once a free port is known.
+func (c *Sidecar) SetFleetAddress(address string) {
+	c.fleetAddress.Store(address)
+}
+
+// Handler serves the system's own processes.
+func (c *Sidecar) Handler() http.Handler {
+	mux := http.NewServeMux()
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		mountEngine(mux, u.controller)
+	}
+	peers := fleetv1.NewPeersServer(&peers{Publisher: peer.NewPublisher(c.reader), sidecar: c})
+	mux.Handle(peers.PathPrefix(), peers)
+	return c.keys.Require(mux)
+}
+
+// OperatorHandler serves metrics, the state dump and drain.
+func (c *Sidecar) OperatorHandler(drain func()) http.Handler {
+	return operator.NewHandler(c.metrics, func() any { return c.State() }, drain)
+}
+
+// Run works until the context ends.
+func (c *Sidecar) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.reader.Run(ctx) })
+	wg.Go(func() { c.followLimits(ctx) })
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		wg.Go(func() { u.controller.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Ready returns a channel that is closed once a configuration is in force.
+func (c *Sidecar) Ready() <-chan struct{} {
+	return c.reader.Ready()
+}
+
+// Drain refuses new work from now on.
+func (c *Sidecar) Drain() {
+	if c.draining.Swap(true) {
+		return
+	}
+	c.log.Info(event.Draining)
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		u.controller.Drain()
+	}
+}
+
+// AwaitIdle returns once nothing runs, or when ctx ends.
+func (c *Sidecar) AwaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(idleInterval)
+	defer ticker.Stop()
+	for c.running() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// State returns the state dump.
+func (c *Sidecar) State() State {
+	s := State{
+		Process: settingsState{
+			Name:       c.settings.Name,
+			Kind:       processKind,
+			VM:         c.settings.VM,
+			Region:     c.settings.Region,
+			DataCentre: c.settings.DataCentre,
+			Upstream:   c.settings.Upstream,
+			Started:    c.started,
+			Draining:   c.draining.Load(),
+		},
+		Configuration: c.reader.State(),
+		Suspects:      c.suspects.Suspects(time.Now()),
+	}
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		state := u.controller.State()
+		s.Engine = &state
+	}
+	return s
+}
+
+func (c *Sidecar) newUpstream() upstream {
+	return modelEngine{controller: engine.NewController(
+		engine.Settings{
+			Upstream:        c.settings.Upstream,
+			UpstreamAddress: c.settings.UpstreamAddress,
+			VM:              c.settings.VM,
+			Started:         c.started,
+		},
+		c.engine, c.store, c.vms, c.fork(),
+		engine.WithLog(c.log),
+		engine.WithSuspects(c.suspects),
+		engine.WithPush(c.pushSuspects),
+		engine.WithNaive(c.settings.engineNaive()),
+	)}
+}
+
+func (c *Sidecar) fork() *rand.Rand {
+	return rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64()))
+}
+
+func (c *Sidecar) running() int {
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		return u.controller.Running()
+	}
+	return 0
+}
+
+func (c *Sidecar) load() *fleetv1.Load {
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		return wire.FromLoad(u.controller.Load())
+	}
+	return nil
+}
+
+// followLimits keeps the term of a quarantine as configured.
+func (c *Sidecar) followLimits(ctx context.Context) {
+	for {
+		changed := c.store.Changed()
+		if s := c.store.Current(); s != nil {
+			seconds := s.Index.Configuration().Limits.QuarantineSeconds
+			c.suspects.SetTerm(time.Duration(seconds) * time.Second)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Sidecar) publishMetrics() {
+	c.metrics.Set("running", expvar.Func(func() any { return c.running() }))
+	c.metrics.Set("revision", expvar.Func(func() any { return c.reader.View().Revision }))
+	c.metrics.Set("suspects", expvar.Func(func() any { return len(c.suspects.Suspects(time.Now())) }))
+	switch u := c.upstream.(type) {
+	case modelEngine:
+		c.metrics.Set("engine", expvar.Func(func() any { return u.controller.State().Counters }))
+	}
+}
