Decide where a call that may not be repeated runs

Cause: a booking that partners resend at once may reach any sidecar, so each sidecar needs to know whether it alone may run a key, and whether it ran before. Ruled out: a waiting time after a change (staleness has no bound) and a vote for each key. A home refuses with ran=unknown, not ran=no, while an earlier home may have run the key, as ran=no would not always be true.

--- /dev/null
+++ b/router/adapter/service/service.go
@@ -0,0 +1,84 @@
+// Package service sends calls to a plain service over HTTP.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/port"
+)
+
+const (
+	// MaxAnswerBytes bounds the body of an answer.
+	MaxAnswerBytes = 1 << 20
+	// KeyHeader carries the caller's idempotency key.
+	KeyHeader = "Idempotency-Key"
+	// PartnerHeader carries the caller's name.
+	PartnerHeader = "Gooseberry-Partner"
+)
+
+type (
+	// Client sends calls over one connection each. A transport resends a request with an
+	// Idempotency-Key by itself when a reused connection breaks, so none is reused.
+	Client struct {
+		client *http.Client
+	}
+)
+
+// NewClient returns a client that follows no redirect and never resends.
+func NewClient() *Client {
+	return &Client{client: &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Call implements port.Service.
+func (c *Client) Call(ctx context.Context, address string, call port.ServiceCall) port.ServiceOutcome {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
+	if err != nil {
+		return port.ServiceNotSent{Err: err}
+	}
+	answer, err := c.client.Do(r)
+	if err != nil && !connected.Load() {
+		return port.ServiceNotSent{Err: eris.Wrap(err, "service")}
+	}
+	if err != nil {
+		return port.ServiceLost{Err: eris.Wrap(err, "service")}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return read(answer)
+}
+
+func newRequest(ctx context.Context, address string, call port.ServiceCall) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "service")
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(PartnerHeader, call.Partner)
+	if call.IdempotencyKey != "" {
+		r.Header.Set(KeyHeader, call.IdempotencyKey)
+	}
+	return r, nil
+}
+
+func read(answer *http.Response) port.ServiceOutcome {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return port.ServiceLost{Err: eris.Wrap(err, "service")}
+	}
+	if len(body) > MaxAnswerBytes {
+		return port.ServiceLost{Err: eris.Errorf("service: the answer is larger than %d bytes", MaxAnswerBytes)}
+	}
+	return port.ServiceAnswered{Status: answer.StatusCode, Body: body}
+}
--- /dev/null
+++ b/router/booking/handover.go
@@ -0,0 +1,151 @@
+package booking
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// HandOver carries records to the next home of their keys.
+	HandOver struct {
+		Pool string
+		From string
+		// Revision is the first one of the layout that moved the keys.
+		Revision int64
+		// Whole tells that From holds no more records for the receiver and runs none.
+		Whole   bool
+		Records []Record
+		// CoveredSince is the creation time from which whole records are complete.
+		CoveredSince time.Time
+	}
+)
+
+// Moves returns the hand-overs of the keys that moved from here to another upstream.
+func (h *Home) Moves(to string) []HandOver {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var list []HandOver
+	for name, p := range h.pools {
+		if h.running.below(p.current().revision) > 0 {
+			continue
+		}
+		o := HandOver{Pool: name, From: h.self.Upstream, Revision: p.current().revision}
+		o.CoveredSince, o.Whole = p.kept(h.self)
+		l := p.current().layout
+		o.Records = h.table.list(func(r *Record) bool {
+			m, found := l.Home(r.Key)
+			return r.Pool == name && found && m.Upstream == to
+		})
+		if o.Whole || len(o.Records) > 0 {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// Stop refuses new keys from now on. Records still answer.
+func (h *Home) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+}
+
+// Leave returns the hand-overs of a planned stop, by the member that gets them. It
+// is called after Stop, when nothing runs any more.
+func (h *Home) Leave() map[Member][]HandOver {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	leaving := make(map[Member][]HandOver)
+	for name, p := range h.pools {
+		for next, records := range h.byNext(name, p.current().layout) {
+			o := HandOver{Pool: name, From: h.self.Upstream, Revision: h.revision, Records: records}
+			leaving[next] = append(leaving[next], o)
+		}
+	}
+	stopped := HandOver{From: h.self.Upstream, Revision: maxRevision, Whole: true}
+	for _, p := range h.peers {
+		if !p.elsewhere {
+			leaving[p.member] = append(leaving[p.member], stopped)
+		}
+	}
+	return leaving
+}
+
+// Accept takes a hand-over, and returns the number of records that were taken.
+func (h *Home) Accept(o HandOver, now time.Time) int {
+	now = h.Tick(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	accepted := 0
+	for i := range o.Records {
+		if h.take(&o.Records[i], now) {
+			accepted++
+		}
+	}
+	if !o.Whole || accepted < len(o.Records) {
+		return accepted
+	}
+	if o.Revision == maxRevision {
+		h.stopped(o.From, now)
+		return accepted
+	}
+	p, found := h.pools[o.Pool]
+	if found && p.current().contiguous && p.current().revision == o.Revision {
+		p.current().handed[o.From] = o.CoveredSince
+	}
+	return accepted
+}
+
+// take keeps a record unless a better one is here. It tells whether the key is covered.
+func (h *Home) take(r *Record, now time.Time) bool {
+	if r.Created.Before(now.Add(-h.horizon)) {
+		return true
+	}
+	s := h.table.shard(r.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, found := s.entries[r.Key]; found {
+		if e.State == Unknown && r.State == Done {
+			e.State = Done
+			h.table.setResult(e, r.Result)
+		}
+		return true
+	}
+	if !h.table.reserve() {
+		return false
+	}
+	e := &entry{Record: *r}
+	if e.State == Intent {
+		e.State = Unknown
+	}
+	h.table.insert(s, e)
+	return true
+}
+
+// stopped notes that an upstream's sidecar stopped for good.
+func (h *Home) stopped(upstream string, now time.Time) {
+	for _, p := range h.peers {
+		if p.member.Upstream == upstream {
+			p.stopped = true
+		}
+	}
+	h.settle(now)
+}
+
+// byNext groups the records of a pool by the member that follows as their keys' home.
+func (h *Home) byNext(name string, l *Layout) map[Member][]Record {
+	groups := make(map[Member][]Record)
+	for _, r := range h.table.list(func(r *Record) bool { return r.Pool == name }) {
+		next, found := l.Home(r.Key)
+		if found && next.Is(h.self) {
+			next, found = l.Next(r.Key, h.self.Upstream)
+		}
+		if found {
+			groups[next] = append(groups[next], r)
+		}
+	}
+	for next := range groups {
+		slices.SortFunc(groups[next], func(a, b Record) int { return a.Created.Compare(b.Created) })
+	}
+	return groups
+}
--- /dev/null
+++ b/router/booking/table.go
@@ -0,0 +1,105 @@
+package booking
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	shardCount = 64
+)
+
+type (
+	// table holds the records of keys in shards, each under its own lock.
+	table struct {
+		shards     [shardCount]shard
+		maxRecords int64
+		maxBytes   int64
+		records    atomic.Int64
+		bytes      atomic.Int64
+	}
+
+	shard struct {
+		mu      sync.Mutex
+		entries map[string]*entry
+	}
+)
+
+func newTable(maxRecords, maxBytes int64) *table {
+	t := &table{maxRecords: maxRecords, maxBytes: maxBytes}
+	for i := range t.shards {
+		t.shards[i].entries = make(map[string]*entry)
+	}
+	return t
+}
+
+func (t *table) shard(key string) *shard {
+	return &t.shards[xxhash.Sum64String(key)%shardCount]
+}
+
+// reserve counts one more record, unless the table is full.
+func (t *table) reserve() bool {
+	if t.bytes.Load() >= t.maxBytes {
+		return false
+	}
+	if t.records.Add(1) > t.maxRecords {
+		t.records.Add(-1)
+		return false
+	}
+	return true
+}
+
+// insert adds an entry. The caller holds the shard's lock and has reserved.
+func (t *table) insert(s *shard, e *entry) {
+	s.entries[e.Key] = e
+	t.bytes.Add(int64(len(e.Result.Body)))
+}
+
+// remove forgets an entry. The caller holds the shard's lock.
+func (t *table) remove(s *shard, e *entry) {
+	delete(s.entries, e.Key)
+	t.records.Add(-1)
+	t.bytes.Add(-int64(len(e.Result.Body)))
+}
+
+// setResult keeps the result of an entry. The caller holds the shard's lock.
+func (t *table) setResult(e *entry, r Result) {
+	t.bytes.Add(int64(len(r.Body)) - int64(len(e.Result.Body)))
+	e.Result = r
+}
+
+// expire forgets the records of keys created before the horizon, except running ones.
+func (t *table) expire(horizon time.Time) int {
+	count := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			if e.Created.Before(horizon) && e.done == nil {
+				t.remove(s, e)
+				count++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return count
+}
+
+// list returns copies of the records that match.
+func (t *table) list(matches func(*Record) bool) []Record {
+	var records []Record
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			if matches(&e.Record) {
+				records = append(records, e.Record)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return records
+}
--- /dev/null
+++ b/sidecar/service/settle.go
@@ -0,0 +1,218 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	fleetv1 "gooseberrypin.example/gen/fleet/v1"
+	adapter "gooseberrypin.example/router/adapter/booking"
+	"gooseberrypin.example/router/booking"
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	askInterval     = 100 * time.Millisecond
+	askTimeout      = 800 * time.Millisecond
+	handOverTimeout = 2 * time.Second
+	maxQuestions    = 16
+)
+
+var (
+	errNotConfigured = eris.New("service: the upstream is not in the configuration")
+)
+
+// Acknowledge implements fleetv1.Bookings. Records that moved to the sender go first.
+func (c *Sidecar) Acknowledge(ctx context.Context, r *fleetv1.AcknowledgeRequest) (*fleetv1.AcknowledgeResponse, error) {
+	c.sync()
+	a := c.home.Acknowledge(r.GetFrom(), r.GetRevision(), time.Now())
+	if a.Revision >= r.GetRevision() && a.Running == 0 {
+		c.move(ctx, r.GetFrom())
+	}
+	return &fleetv1.AcknowledgeResponse{
+		Revision:      a.Revision,
+		Upstream:      c.self.Upstream,
+		StartedUnixMs: c.started.UnixMilli(),
+		Running:       int32(a.Running),
+	}, nil
+}
+
+// HandOver implements fleetv1.Bookings.
+func (c *Sidecar) HandOver(_ context.Context, r *fleetv1.HandOverRequest) (*fleetv1.HandOverResponse, error) {
+	c.sync()
+	accepted := c.home.Accept(adapter.ToHandOver(r), time.Now())
+	c.metrics.Add("records_accepted", int64(accepted))
+	c.log.Info(event.BookingAccepted, "from", r.GetFrom(), "pool", r.GetPool(), "accepted", accepted, "offered", len(r.GetRecords()))
+	return &fleetv1.HandOverResponse{Accepted: int32(accepted)}, nil
+}
+
+// Drain refuses new keys, waits for the running ones, and gives the records to their next homes.
+func (c *Sidecar) Drain(ctx context.Context) {
+	c.draining.Store(true)
+	c.home.Stop()
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for c.home.Running() > 0 || c.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	var group sync.WaitGroup
+	for to, list := range c.home.Leave() {
+		group.Go(func() { c.leaveTo(ctx, to, list) })
+	}
+	group.Wait()
+}
+
+// settle asks other sidecars until keys may run here, after each change and each pause.
+func (c *Sidecar) settle(ctx context.Context) {
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	settled := false
+	for {
+		c.sync()
+		questions := c.home.Questions()
+		c.ask(ctx, questions)
+		settled = c.report(settled, questions)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// report logs a change between settled and unsettled.
+func (c *Sidecar) report(before bool, questions []booking.Question) bool {
+	settled := c.home.Settled()
+	if settled == before {
+		return settled
+	}
+	if settled {
+		c.log.Info(event.BookingSettled, "revision", c.home.Revision())
+		return settled
+	}
+	names := make([]string, 0, len(questions))
+	for _, q := range questions {
+		names = append(names, q.Member.VM)
+	}
+	c.log.Info(event.BookingUnsettled, "revision", c.home.Revision(), "waiting_for", names)
+	return settled
+}
+
+// ask puts questions, a bounded number at once.
+func (c *Sidecar) ask(ctx context.Context, questions []booking.Question) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxQuestions)
+	for _, q := range questions {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			c.askOne(ctx, q)
+		})
+	}
+	group.Wait()
+}
+
+func (c *Sidecar) askOne(ctx context.Context, q booking.Question) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c.metrics.Add("questions", 1)
+	switch o := c.peers.Acknowledge(ctx, c.self.Upstream, q).(type) {
+	case port.Acknowledged:
+		c.home.Acknowledged(q, o.Acknowledgement, time.Now())
+	case port.AcknowledgeElsewhere:
+		c.home.Elsewhere(q, time.Now())
+	case port.AcknowledgeFailed:
+		c.metrics.Add("questions_failed", 1)
+	}
+}
+
+// move gives the records of moved keys to an upstream that asks, once for each layout.
+func (c *Sidecar) move(ctx context.Context, to string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout/2)
+	defer cancel()
+	m, found := c.member(to)
+	if !found {
+		return
+	}
+	for _, o := range c.home.Moves(to) {
+		key := move{to: m.VM, pool: o.Pool, revision: o.Revision}
+		if c.wasMoved(key) {
+			continue
+		}
+		if c.handOver(ctx, m, o) {
+			c.setMoved(key)
+		}
+	}
+}
+
+func (c *Sidecar) leaveTo(ctx context.Context, to booking.Member, list []booking.HandOver) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for _, o := range list {
+		c.handOver(ctx, to, o)
+	}
+}
+
+func (c *Sidecar) handOver(ctx context.Context, to booking.Member, o booking.HandOver) bool {
+	accepted, err := c.peers.HandOver(ctx, to, o)
+	if err != nil {
+		c.log.Error(err, event.BookingHandOverFailed, "to", to.VM, "pool", o.Pool, "records", len(o.Records))
+		return false
+	}
+	c.metrics.Add("records_handed_over", int64(accepted))
+	c.log.Info(event.BookingHandedOver, "to", to.VM, "pool", o.Pool, "accepted", accepted, "records", len(o.Records))
+	return accepted == len(o.Records)
+}
+
+func (c *Sidecar) wasMoved(key move) bool {
+	c.movedMu.Lock()
+	defer c.movedMu.Unlock()
+	return c.moved[key]
+}
+
+func (c *Sidecar) setMoved(key move) {
+	c.movedMu.Lock()
+	defer c.movedMu.Unlock()
+	c.moved[key] = true
+}
+
+// upstream returns the own upstream in the configuration in force, or nil.
+func (c *Sidecar) upstream() *configuration.Upstream {
+	s := c.store.Current()
+	if s == nil {
+		return nil
+	}
+	return s.Index.Upstream(c.self.Upstream)
+}
+
+// member returns the sidecar of another upstream.
+func (c *Sidecar) member(name string) (booking.Member, bool) {
+	s := c.store.Current()
+	if s == nil {
+		return booking.Member{}, false
+	}
+	u := s.Index.Upstream(name)
+	if u == nil {
+		return booking.Member{}, false
+	}
+	return booking.Member{Upstream: u.Name, VM: u.VM, Address: u.SidecarAddress}, true
+}
+
+// leaving refuses new work for an upstream that the operators or the platform take away.
+func (c *Sidecar) leaving() *refusal.Refusal {
+	u := c.upstream()
+	leaving := u == nil || u.Leaving || c.home.Leaving() || c.draining.Load()
+	if !leaving {
+		return nil
+	}
+	return refusal.New(refusal.RanNo, refusal.Leaving, retryLeaving, "the upstream is leaving")
+}
--- /dev/null
+++ b/sidecar/service/state.go
@@ -0,0 +1,19 @@
+package service
+
+import (
+	"time"
+
+	"gooseberrypin.example/router/booking"
+)
+
+type (
+	// State is the state dump of the sidecar of a plain service.
+	State struct {
+		Upstream string       `json:"upstream"`
+		VM       string       `json:"vm"`
+		Started  time.Time    `json:"started"`
+		Draining bool         `json:"draining"`
+		Running  int          `json:"running"`
+		Bookings booking.Dump `json:"bookings"`
+	}
+)
--- a/standin/service/command.go
+++ b/standin/service/command.go
@@ -1,16 +1,48 @@
-// Package service is a plain service that records each run of a key.
 package service
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
 	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/event"
+)
+
+const (
+	headerTimeout = 5 * time.Second
 )
 
 type (
 	// Command is the subcommand service.
-	Command struct{}
+	Command struct {
+		Listen  string `help:"IP:port to serve. Port 0 takes a free one." default:"127.0.0.1:0"`
+		DelayMS int64  `help:"Time until a call is answered, in milliseconds." name:"delay-ms" default:"0"`
+	}
 )
 
 // Run implements the subcommand.
 func (c *Command) Run() error {
-	return eris.New("service: not built yet")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return eris.Wrap(err, "service")
+	}
+	event.NewLog(os.Stderr, "service").Info(event.StandinListening, "address", listener.Addr().String())
+	service := New(time.Duration(c.DelayMS) * time.Millisecond)
+	server := &http.Server{Handler: service.Handler(), ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "service")
+	}
+	return nil
 }
