--- a/router/event/standin.go
+++ b/router/event/standin.go
@@ -1,7 +1,7 @@
 package event
 
-// Events of the stand-ins for outside systems.
+// Events of the stand-ins.
 var (
 	// StandinListening tells the address that a stand-in serves.
-	StandinListening = Event{Number: 9001, Text: "standin listening"}
+	StandinListening = Event{Number: 9001, Text: "stand-in listening"}
 )
