Add the fleet of processes and the script commands

Cause: scenarios need real processes that can be started, stopped, killed, frozen and cut off from each other, and scripts that read like prose.

Weighed: ports read back from the processes' logs against ports reserved before the start. Overrides of dialled addresses must stand in the settings before a process starts, and entries dial each other, so addresses are reserved first, on a loopback address of each script's own.

Seen: scenario, scenario/fleet pass under the race detector (link cut, heal, reset; process start, stop, freeze, kill, start again). No daemon runs yet.

--- /dev/null
+++ b/scenario/fleet/link_test.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	silence = 100 * time.Millisecond
+	bound   = 5 * time.Second
+)
+
+// newEcho returns the address of a server that sends each line back.
+func newEcho(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestLinkHoldsBackAndForwardsLater(t *testing.T) {
+	is := is.New(t)
+	link, err := NewLink("127.0.0.1", newEcho(t))
+	is.NoErr(err)
+	defer link.Close()
+	c, err := net.Dial("tcp", link.Address())
+	is.NoErr(err)
+	r := bufio.NewReader(c)
+
+	_, _ = io.WriteString(c, "one\n")
+	line, err := r.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "one\n") // an open link forwards
+
+	link.Cut()
+	_, _ = io.WriteString(c, "two\n")
+	_ = c.SetReadDeadline(time.Now().Add(silence))
+	_, err = r.ReadString('\n')
+	is.True(err != nil) // a cut link forwards nothing
+
+	link.Heal()
+	_ = c.SetReadDeadline(time.Now().Add(bound))
+	line, err = r.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "two\n") // what was held back arrives after the cut
+}
+
+func TestLinkReset(t *testing.T) {
+	is := is.New(t)
+	link, err := NewLink("127.0.0.1", newEcho(t))
+	is.NoErr(err)
+	defer link.Close()
+	c, err := net.Dial("tcp", link.Address())
+	is.NoErr(err)
+	_, _ = io.WriteString(c, "one\n")
+	_, err = bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+
+	link.Reset()
+	_ = c.SetReadDeadline(time.Now().Add(bound))
+	_, err = c.Read(make([]byte, 1))
+	is.True(err != nil) // the connection is closed
+}
--- /dev/null
+++ b/scenario/fleet/process_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package fleet
+
+import (
+	"os/exec"
+)
+
+func endWithParent(*exec.Cmd) {}
--- /dev/null
+++ b/scenario/fleet/settings.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"gooseberrypin.example/router/settings"
+)
+
+type (
+	// processSettings are the settings of an entry or a sidecar as it reads them.
+	processSettings struct {
+		settings.Process
+		CallerAddress   string   `json:"caller_address,omitempty"`
+		Upstream        string   `json:"upstream,omitempty"`
+		UpstreamAddress string   `json:"upstream_address,omitempty"`
+		Kind            string   `json:"kind,omitempty"`
+		Naive           []string `json:"naive,omitempty"`
+	}
+)
+
+func (f *Fleet) settings(n *node) (*processSettings, error) {
+	s := &processSettings{
+		Process: settings.Process{
+			Name:            n.process(),
+			VM:              n.name,
+			Region:          Region,
+			DataCentre:      n.dataCentre,
+			FleetAddress:    n.fleet,
+			OperatorAddress: n.operator,
+			PlatformAddress: f.platform,
+			FleetKeys:       []string{fleetKey},
+			Seed:            1,
+		},
+		CallerAddress: n.caller,
+		Naive:         f.naive,
+	}
+	if !n.isEntry() {
+		s.Upstream, s.UpstreamAddress, s.Kind = n.name, n.address, string(n.kind())
+	}
+	if f.linked {
+		return s, f.linkProcess(n, s)
+	}
+	return s, nil
+}
+
+// linkProcess routes all that a process dials through links of its own.
+func (f *Fleet) linkProcess(n *node, s *processSettings) error {
+	from := n.process()
+	var err error
+	if s.PlatformAddress, err = f.addLink(from, PlatformName, f.platform); err != nil {
+		return err
+	}
+	if !n.isEntry() {
+		if s.UpstreamAddress, err = f.addLink(from, n.name, n.address); err != nil {
+			return err
+		}
+	}
+	s.DialOverrides = make(map[string]string)
+	for _, other := range f.nodes {
+		if other == n {
+			continue
+		}
+		if s.DialOverrides[other.fleet], err = f.addLink(from, other.process(), other.fleet); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) addLink(from, to, target string) (string, error) {
+	l, err := NewLink(f.host, target)
+	if err != nil {
+		return "", err
+	}
+	f.links[linkName(from, to)] = l
+	return l.Address(), nil
+}
+
+func linkName(from, to string) string {
+	return from + " " + to
+}
--- /dev/null
+++ b/scenario/requests_test.go
@@ -0,0 +1,156 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"gooseberrypin.example/scenario/answer"
+	"gooseberrypin.example/scenario/fleet"
+)
+
+type (
+	// request is what send was asked for.
+	request struct {
+		partner    string
+		call       answer.Call
+		generation answer.Generation
+		earlier    string
+		// resend is how often a cut or refused request is sent again.
+		resend int
+		// entries are used in turn.
+		entries []string
+	}
+)
+
+// cmdNewKey sets a variable to a new UUIDv7: newkey VARIABLE [age=DURATION]. A negative
+// age is the key of a partner whose clock is ahead.
+func cmdNewKey(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, "newkey", neg)
+	key, err := uuid.NewV7()
+	ts.Check(err)
+	for _, o := range parseOptions(ts, args[1:]) {
+		age, err := time.ParseDuration(o.value)
+		ts.Check(err)
+		setTime(&key, time.Now().Add(-age).UnixMilli())
+	}
+	ts.Setenv(args[0], key.String())
+}
+
+// setTime puts a creation time into the first 48 bits of a UUIDv7.
+func setTime(key *uuid.UUID, unixMilli int64) {
+	for i := range 6 {
+		key[i] = byte(unixMilli >> (8 * (5 - i)))
+	}
+}
+
+// cmdSend sends a request in the background:
+//
+//	send NAME ENTRY[,ENTRY] generate key=K [prompt=P] [max=N] [offset=N] [earlier=NAME] [slow=DURATION]
+//	send NAME ENTRY[,ENTRY] call key=K [service=S] [path=P] [body=B]
+//
+// Both take partner=P and resend=N.
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, "send", neg)
+	if len(args) < 3 {
+		ts.Fatalf("usage: send NAME ENTRY[,ENTRY] generate|call OPTIONS")
+	}
+	s := stageOf(ts)
+	r := parseRequest(ts, args[3:])
+	r.entries = strings.Split(args[1], ",")
+	var senders []*answer.Sender
+	for _, entry := range r.entries {
+		sender, err := s.sender(entry, r.partner)
+		ts.Check(err)
+		senders = append(senders, sender)
+	}
+	record := answer.NewRecord(r.earlier)
+	s.background(args[0], record, func(ctx context.Context) {
+		for i := range r.resend + 1 {
+			r.run(ctx, args[2], senders[i%len(senders)], record)
+			if !record.Retry(ctx) {
+				return
+			}
+		}
+	})
+}
+
+// cmdCancel ends the connection of a request that was sent.
+func cmdCancel(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, "cancel", neg)
+	for _, name := range args {
+		sent, err := stageOf(ts).sending(name)
+		ts.Check(err)
+		sent.cancel()
+	}
+}
+
+func (r *request) run(ctx context.Context, kind string, sender *answer.Sender, record *answer.Record) {
+	if kind == "call" {
+		sender.Call(ctx, r.call, record)
+		return
+	}
+	sender.Generate(ctx, r.generation, record)
+}
+
+func parseRequest(ts *testscript.TestScript, args []string) *request {
+	r := &request{
+		partner:    "varal",
+		call:       answer.Call{Service: fleet.BookingService, Path: "/run", Body: "{}"},
+		generation: answer.Generation{Model: fleet.Model, Prompt: "a short prompt", MaxTokens: 20},
+	}
+	for _, o := range parseOptions(ts, args) {
+		r.set(ts, o)
+	}
+	return r
+}
+
+func (r *request) set(ts *testscript.TestScript, o option) {
+	switch o.name {
+	case "key":
+		r.call.Key, r.generation.Key = o.value, o.value
+	case "prompt":
+		r.generation.Prompt = o.value
+	case "words":
+		r.generation.Prompt = strings.Repeat("word ", o.number(ts))
+	case "model":
+		r.generation.Model = o.value
+	case "max":
+		r.generation.MaxTokens = int32(o.number(ts))
+	case "offset":
+		r.generation.Offset = int64(o.number(ts))
+	case "slow":
+		pause, err := time.ParseDuration(o.value)
+		ts.Check(err)
+		r.generation.Pause = pause
+	case "earlier":
+		sent, err := stageOf(ts).sending(o.value)
+		ts.Check(err)
+		r.earlier = sent.record.Answer().Text
+		r.generation.Offset = sent.record.Answer().Tokens
+	case "service":
+		r.call.Service = o.value
+	case "path":
+		r.call.Path = o.value
+	case "body":
+		r.call.Body = o.value
+	case "partner":
+		r.partner = o.value
+	case "resend":
+		r.resend = o.number(ts)
+	default:
+		ts.Fatalf("send: no option %q", o.name)
+	}
+}
+
+func (s *stage) answerDocument(name string) ([]byte, error) {
+	sent, err := s.sending(name)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(sent.record.Answer())
+}
