Print what one more item costs

Weighed: Go benchmarks against a command. Retained memory of both heap and stacks, processor time of all threads and bytes on the wire are not what testing.B reports, so it is a command over package capacity.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	go run ./router/cmd/bench-policy
 
 bench-capacity:
-	go test -run '^$$' -bench . -benchmem ./router/... ./scenario/...
+	go run ./scenario/cmd/bench-capacity
 
 generate:
 	./generate.sh
--- /dev/null
+++ b/scenario/cmd/bench-capacity/main.go
@@ -0,0 +1,41 @@
+// Command bench-capacity prints what one more item of each kind costs on this machine.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/scenario/capacity"
+)
+
+type (
+	command struct{}
+)
+
+func main() {
+	var c command
+	kong.Parse(&c, kong.Name("bench-capacity"), kong.Description("Print what one more item of each kind costs on this machine."))
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, eris.ToString(err, false))
+		os.Exit(1)
+	}
+}
+
+func (*command) run() error {
+	fmt.Printf("%s, %s, %d processors\n", runtime.Version(), runtime.GOARCH, runtime.NumCPU())
+	fmt.Println(capacity.Header())
+	for _, measure := range capacity.All() {
+		slopes, err := measure()
+		if err != nil {
+			return err
+		}
+		for _, s := range slopes {
+			fmt.Println(s)
+		}
+	}
+	return nil
+}
