Give the decisions the memory of first arrivals, waits and progress

Cause: a partner that resends at once makes late tries outnumber fresh ones, so a key's first arrival must be kept; hints about decode engines must age towards the streams that ended since. Ruled out: counting each resend as demand, which would limit light partners in an overload.

--- a/router/decode/chooser.go
+++ b/router/decode/chooser.go
@@ -8,7 +8,11 @@
 )
 
 const (
-	recentChoices = 64
+	recentChoices     = 64
+	defaultStreamLife = 5 * time.Second
+	lifeWeight        = 0.05
+	// minRoom is the expected number of free streams from which a full engine is asked again.
+	minRoom = 0.25
 )
 
 type (
@@ -27,6 +31,7 @@
 		mu        sync.Mutex
 		random    *rand.Rand
 		strategy  Strategy
+		life      time.Duration
 		upstreams map[string]*upstream
 	}
 
@@ -49,7 +54,7 @@
 
 // NewChooser returns a chooser that draws from random.
 func NewChooser(random *rand.Rand, opts ...Option) *Chooser {
-	c := &Chooser{random: random, strategy: BestOfAll{}, upstreams: make(map[string]*upstream)}
+	c := &Chooser{random: random, strategy: BestOfAll{}, life: defaultStreamLife, upstreams: make(map[string]*upstream)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -81,6 +86,51 @@
 	c.upstream(name).add(change{at: now, pieces: -pieces, streams: -1})
 }
 
+// Ended learns how long a stream lives, from its reservation to its end.
+func (c *Chooser) Ended(life time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life += time.Duration(lifeWeight * float64(life-c.life))
+}
+
+// Wait is the predicted time until a stream gets room while others wait ahead of it.
+func (c *Chooser) Wait(ahead int, candidates []string, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	room, running := 0.0, 0
+	for _, name := range candidates {
+		u := c.upstream(name)
+		if !u.hinted {
+			return 0
+		}
+		if !u.hint.Accepting {
+			continue
+		}
+		room += max(0, u.room(c.life, now))
+		running += u.hint.Running
+	}
+	missing := float64(ahead+1) - room
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing * float64(c.life) / float64(max(1, running)))
+}
+
+// Load returns how many streams the candidates are known to hold, and how many they take.
+func (c *Chooser) Load(candidates []string) (running, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range candidates {
+		u := c.upstream(name)
+		_, streams := u.taken()
+		if u.hint.Accepting {
+			running += u.hint.Running + streams
+			limit += u.hint.Limit
+		}
+	}
+	return running, limit
+}
+
 // Forget drops all that is known of an upstream.
 func (c *Chooser) Forget(name string) {
 	c.mu.Lock()
@@ -95,18 +145,18 @@
 	defer c.mu.Unlock()
 	usable := make([]string, 0, len(candidates))
 	for _, name := range candidates {
-		if !slices.Contains(avoid, name) && c.upstream(name).fits(pieces) {
+		if !slices.Contains(avoid, name) && c.upstream(name).fits(pieces, c.life, now) {
 			usable = append(usable, name)
 		}
 	}
-	best, found := c.roomiest(narrow(c.strategy, usable, c.random))
+	best, found := c.roomiest(narrow(c.strategy, usable, c.random), now)
 	if found {
 		c.upstream(best).add(change{at: now, pieces: pieces, streams: 1})
 	}
 	return best, found
 }
 
-func (c *Chooser) roomiest(candidates []string) (best string, found bool) {
+func (c *Chooser) roomiest(candidates []string, now time.Time) (best string, found bool) {
 	if len(candidates) == 0 {
 		return "", false
 	}
@@ -114,7 +164,7 @@
 	most := 0.0
 	for i := range candidates {
 		name := candidates[(i+offset)%len(candidates)]
-		room := c.upstream(name).room()
+		room := c.upstream(name).room(c.life, now)
 		if !found || room > most {
 			best, most, found = name, room, true
 		}
@@ -148,19 +198,20 @@
 }
 
 // fits tells whether the hint leaves room. An engine without a hint is worth a try.
-func (u *upstream) fits(pieces int) bool {
+func (u *upstream) fits(pieces int, life time.Duration, now time.Time) bool {
 	if !u.hinted {
 		return true
 	}
-	taken, streams := u.taken()
+	taken, _ := u.taken()
 	if !u.hint.Accepting || u.hint.FreePieces-taken < pieces {
 		return false
 	}
-	return u.hint.Limit == 0 || u.hint.Running+streams < u.hint.Limit
+	return u.hint.Limit == 0 || u.room(life, now) >= minRoom
 }
 
-// room is the free share of the streams that the engine takes.
-func (u *upstream) room() float64 {
+// room is the expected number of free streams. A hint loses weight with age: of the
+// streams that it counts, some have ended since.
+func (u *upstream) room(life time.Duration, now time.Time) float64 {
 	taken, streams := u.taken()
 	if !u.hinted {
 		return -float64(streams)
@@ -168,5 +219,7 @@
 	if u.hint.Limit == 0 {
 		return float64(u.hint.FreePieces - taken)
 	}
-	return float64(u.hint.Limit - u.hint.Running - streams)
+	age := max(0, now.Sub(u.hint.At))
+	ended := float64(u.hint.Running) * min(1, float64(age)/float64(life))
+	return float64(u.hint.Limit-u.hint.Running-streams) + ended
 }
--- a/router/prefill/chooser.go
+++ b/router/prefill/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -139,6 +140,21 @@
 	return best, found
 }
 
+// Withdraw takes back a choice whose prefill will not run.
+func (c *Chooser) Withdraw(p Prompt, made Choice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.upstream(made.Upstream)
+	cost := time.Duration(p.Tokens-made.CachedTokens) * c.tokenCost
+	for i := len(u.recent) - 1; i >= 0; i-- {
+		if u.recent[i].cost == cost {
+			u.recent = slices.Delete(u.recent, i, i+1)
+			u.replay()
+			return
+		}
+	}
+}
+
 func (c *Chooser) cheapest(p Prompt, candidates []string, now time.Time) (best Choice, found bool) {
 	if len(candidates) == 0 {
 		return best, false
@@ -171,7 +187,7 @@
 func (c *Chooser) take(p Prompt, taken Choice, now time.Time) {
 	u := c.upstream(taken.Upstream)
 	if len(u.recent) == recentChoices {
-		u.recent = append(u.recent[:0], u.recent[1:]...)
+		u.recent = slices.Delete(u.recent, 0, 1)
 	}
 	made := choice{at: now, cost: time.Duration(p.Tokens-taken.CachedTokens) * c.tokenCost}
 	u.recent = append(u.recent, made)
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -25,6 +25,8 @@
 		Arrived time.Time
 		// Deadline is when the first token is due.
 		Deadline time.Time
+		// Late items missed the target already. They run only when no other item waits.
+		Late bool
 	}
 
 	// QueueOption sets an option of a queue.
@@ -197,6 +199,9 @@
 }
 
 func (q *Queue) before(a, b Item) bool {
+	if a.Late != b.Late {
+		return b.Late
+	}
 	x, y := q.latestStart(a), q.latestStart(b)
 	if x.Equal(y) {
 		return a.Attempt < b.Attempt
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -2,6 +2,7 @@
 package share
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -82,14 +83,34 @@
 
 // Take counts a request of a partner, or refuses it beyond the partner's share under load.
 func (l *Limiter) Take(name string, weight float64, predictedTokens, liveEntries int, now time.Time) *refusal.Refusal {
+	return l.take(name, weight, predictedTokens, liveEntries, true, now)
+}
+
+// Again is Take for a resend of a request that was refused: it adds nothing to what the partner asks for.
+func (l *Limiter) Again(name string, weight float64, predictedTokens, liveEntries int, now time.Time) *refusal.Refusal {
+	return l.take(name, weight, predictedTokens, liveEntries, false, now)
+}
+
+// Refund gives back what a request took that was refused later, before any work was done for it.
+func (l *Limiter) Refund(name string, predictedTokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, found := l.partners[name]; found {
+		p.bucket += float64(predictedTokens)
+	}
+}
+
+func (l *Limiter) take(name string, weight float64, predicted, entries int, first bool, now time.Time) *refusal.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.partner(name, weight, now)
-	l.relevel(liveEntries, now)
-	tokens := float64(predictedTokens)
+	l.relevel(entries, now)
+	tokens := float64(predicted)
 	share := p.weight * l.level
 	p.refill(share, l.burst, tokens, now)
-	p.demand += tokens / demandWindow.Seconds()
+	if first {
+		p.demand += tokens / demandWindow.Seconds()
+	}
 	if l.pressure < l.threshold || l.rate == 0 || p.demand <= share {
 		p.bucket = max(0, p.bucket-tokens)
 		return nil
@@ -121,7 +142,7 @@
 	passed := max(0, now.Sub(p.updated))
 	p.updated = now
 	p.bucket = min(max(share*burst.Seconds(), tokens), p.bucket+share*passed.Seconds())
-	p.demand *= max(0, 1-passed.Seconds()/demandWindow.Seconds())
+	p.demand *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
 }
 
 // relevel computes the level at which the partners' capped demands fill the rate.
