Let only the sidecar count a crash

Cause: the keeper counted a crash that the sidecar had counted and told already, so one crash looked like two and content was quarantined after its first. The keeper now asks the sidecar what it suspects before it tries again.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	go build -o bin/ ./entry/cmd/... ./sidecar/cmd/... ./gooseberryctl/cmd/... ./standin/cmd/...
 
 demo: build
-	go run ./scenario/cmd/demo -bin bin
+	go run ./scenario/cmd/demo --bin bin
 
 test: known-red format lint vet race
 
@@ -27,7 +27,7 @@
 	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint fmt --diff ./...) || exit 1; done
 
 lint: tools
-	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 vet:
 	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -30,12 +30,12 @@
 	return &crashes{entry: e, table: quarantine.NewTable()}
 }
 
-// Crashed implements generation.Crashes. The entries of the region hear of it before
-// the content is tried again.
-func (c *crashes) Crashed(fingerprint string, now time.Time) *refusal.Refusal {
-	c.table.Report([]string{fingerprint}, now)
+// Crashed implements generation.Crashes. Only the sidecar counts a crash; its heartbeat
+// tells what it suspects, and the region's entries hear of it before the next try.
+func (c *crashes) Crashed(ctx context.Context, address, fingerprint string) *refusal.Refusal {
+	c.entry.heartbeat(ctx, address)
 	c.spread()
-	return c.check(fingerprint, now)
+	return c.check(fingerprint, time.Now())
 }
 
 // Passed implements generation.Crashes.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	retryFraction = 0.1
 	sweepInterval = 5 * time.Second
 	closeTimeout  = 2 * time.Second
+	processKind   = "entry"
 )
 
 type (
@@ -176,7 +177,7 @@
 func (e *Entry) process() *fleetv1.Process {
 	return &fleetv1.Process{
 		Name:          e.settings.Name,
-		Kind:          "entry",
+		Kind:          processKind,
 		FleetAddress:  e.address,
 		DataCentre:    e.settings.DataCentre,
 		StartedUnixMs: e.started.UnixMilli(),
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -16,6 +16,7 @@
 	"gooseberrypin.example/router/adapter/operator"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/subscription"
 )
 
@@ -27,16 +28,26 @@
 type (
 	// state is the state dump of an entry.
 	state struct {
-		Name         string               `json:"name"`
-		VM           string               `json:"vm"`
-		FleetAddress string               `json:"fleet_address"`
-		Started      time.Time            `json:"started"`
-		Draining     bool                 `json:"draining"`
-		Subscription subscription.State   `json:"subscription"`
-		Running      int                  `json:"running"`
-		Ended        int                  `json:"ended"`
-		Loads        map[string]port.Load `json:"loads"`
-		Held         map[string]int       `json:"held"`
+		Process       processState         `json:"process"`
+		Configuration subscription.State   `json:"configuration"`
+		Running       int                  `json:"running"`
+		Ended         int                  `json:"ended"`
+		Undelivered   int                  `json:"undelivered"`
+		Held          map[string]int       `json:"held"`
+		Relays        map[string]int       `json:"relays"`
+		Suspects      []quarantine.Suspect `json:"suspects"`
+		Loads         map[string]port.Load `json:"loads"`
+	}
+
+	processState struct {
+		Name         string    `json:"name"`
+		Kind         string    `json:"kind"`
+		VM           string    `json:"vm"`
+		Region       string    `json:"region"`
+		DataCentre   string    `json:"data_centre"`
+		FleetAddress string    `json:"fleet_address"`
+		Started      time.Time `json:"started"`
+		Draining     bool      `json:"draining"`
 	}
 )
 
@@ -123,15 +134,23 @@
 		held[address] = len(e.holdings.Attempts(address))
 	}
 	return state{
-		Name:         e.settings.Name,
-		VM:           e.settings.VM,
-		FleetAddress: e.address,
-		Started:      e.started,
-		Draining:     e.draining.Load(),
-		Subscription: e.reader.State(),
-		Running:      active,
-		Ended:        ended,
-		Loads:        e.route.Loads(),
-		Held:         held,
+		Process: processState{
+			Name:         e.settings.Name,
+			Kind:         processKind,
+			VM:           e.settings.VM,
+			Region:       e.settings.Region,
+			DataCentre:   e.settings.DataCentre,
+			FleetAddress: e.address,
+			Started:      e.started,
+			Draining:     e.draining.Load(),
+		},
+		Configuration: e.reader.State(),
+		Running:       active,
+		Ended:         ended,
+		Undelivered:   e.book.Undelivered(),
+		Held:          held,
+		Relays:        e.relays.table.Holders(),
+		Suspects:      e.crashes.table.Suspects(time.Now()),
+		Loads:         e.route.Loads(),
 	}
 }
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -62,8 +62,9 @@
 
 	// Crashes records which content ran on upstreams that died.
 	Crashes interface {
-		// Crashed notes a loss and refuses content that must not be tried again.
-		Crashed(fingerprint string, now time.Time) *refusal.Refusal
+		// Crashed learns from the sidecar of an engine that died what it suspects, and
+		// refuses content that must not be tried again.
+		Crashed(ctx context.Context, address, fingerprint string) *refusal.Refusal
 		// Passed clears content whose answer became whole.
 		Passed(fingerprint string)
 	}
@@ -147,9 +148,9 @@
 			record.Fail(refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone"))
 			return
 		}
-		if res.why.Reason == refusal.UpstreamLost && w.crashed {
+		if w.crashedAt != "" {
 			j.Suspect = true
-			if why := r.crashes.Crashed(j.Fingerprint, time.Now()); why != nil {
+			if why := r.crashes.Crashed(ctx, w.crashedAt, j.Fingerprint); why != nil {
 				record.Fail(why)
 				return
 			}
--- a/router/generation/generation_test.go
+++ b/router/generation/generation_test.go
@@ -134,7 +134,7 @@
 
 func (routes) Down(string, time.Time) {}
 
-func (c *crashes) Crashed(string, time.Time) *refusal.Refusal {
+func (c *crashes) Crashed(context.Context, string, string) *refusal.Refusal {
 	if c.count++; c.count > 1 {
 		return refusal.New(refusal.RanYes, refusal.Quarantined, time.Minute, "crashes")
 	}
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -17,8 +17,8 @@
 		record   *request.Record
 		job      Job
 		deadline time.Time
-		// crashed tells that the engine died, not only its sidecar's connection.
-		crashed bool
+		// crashedAt is the sidecar's address when its engine died, not only the connection.
+		crashedAt string
 		// exhausted tells that no decode upstream has memory.
 		exhausted bool
 		decode    *Target
@@ -65,7 +65,7 @@
 			return kv, nil
 		}
 		last = why
-		if w.crashed || w.exhausted || !elsewhere(why) {
+		if w.crashedAt != "" || w.exhausted || !elsewhere(why) {
 			break
 		}
 		avoid = append(avoid, target.Upstream)
@@ -112,7 +112,7 @@
 	case port.Prefilled:
 		return e.KV, true, nil
 	case port.Refused:
-		w.crashed = w.crashed || e.Refusal.Reason == refusal.UpstreamLost
+		w.noteCrash(target, e.Refusal)
 		return port.KV{}, false, e.Refusal
 	}
 	return port.KV{}, false, nil
@@ -202,7 +202,7 @@
 			w.finish(e.Reason)
 			return result{}
 		case port.Refused:
-			w.crashed = e.Refusal.Reason == refusal.UpstreamLost
+			w.noteCrash(*w.decode, e.Refusal)
 			return result{why: e.Refusal, retryable: retryable(e.Refusal)}
 		}
 	}
@@ -236,6 +236,14 @@
 	_ = w.runner.sidecars.Release(ctx, target.SidecarAddress, w.job.Attempt)
 }
 
+// noteCrash tells an engine that died from one that is only down: content that never
+// ran there is no suspect.
+func (w *work) noteCrash(target Target, why *refusal.Refusal) {
+	if why.Reason == refusal.UpstreamLost && why.Ran != refusal.RanNo {
+		w.crashedAt = target.SidecarAddress
+	}
+}
+
 func (w *work) unreachable(t Target) *refusal.Refusal {
 	w.runner.route.Down(t.Upstream, time.Now())
 	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
