Notice lost processes by missed heartbeats

Cause: a stopped process still accepts connections; a stream to it stayed open until the ping of HTTP/2 timed out, about 2.5 s, and once more for the entry that took over. Ruled out: shorter pings on every connection, which cost the same on idle ones.

--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -37,7 +37,12 @@
 	item := leaseItem(port.Attempt{KeyDigest: g.KeyDigest(), Number: q.Msg.GetConnection()})
 	k.entry.relays.add(q.Msg.GetRelay(), item, cancel)
 	defer k.entry.relays.remove(q.Msg.GetRelay(), item)
-	why := k.entry.keep(ctx, g, int(q.Msg.GetRequest().GetOffsetTokens()), q.Msg.GetForwarded(), func(p request.Piece) error {
+	j := joining{
+		offset:    int(q.Msg.GetRequest().GetOffsetTokens()),
+		forwarded: q.Msg.GetForwarded(),
+		lost:      q.Msg.GetLostAddress(),
+	}
+	why := k.entry.keep(ctx, g, j, func(p request.Piece) error {
 		return s.Send(&fleetv1.KeepEvent{Event: &fleetv1.KeepEvent_Piece{Piece: fromPiece(p)}})
 	})
 	if why == nil {
@@ -52,7 +57,7 @@
 }
 
 // keep joins the record of a key, or opens it and starts the work.
-func (e *Entry) keep(ctx context.Context, g request.Generation, offset int, forwarded bool, out send) *refusal.Refusal {
+func (e *Entry) keep(ctx context.Context, g request.Generation, j joining, out send) *refusal.Refusal {
 	if why := e.crashes.check(g.Fingerprint(), time.Now()); why != nil {
 		return why
 	}
@@ -61,12 +66,12 @@
 		return why
 	}
 	if isNew {
-		if why := e.start(r, forwarded); why != nil {
+		if why := e.start(r, j); why != nil {
 			return why
 		}
-		offset = 0
+		j.offset = 0
 	}
-	reader, why := r.Join(offset)
+	reader, why := r.Join(j.offset)
 	if why != nil {
 		return why
 	}
@@ -90,7 +95,7 @@
 }
 
 // start works on a new record in the background, until it ends or nobody reads it.
-func (e *Entry) start(r *request.Record, forwarded bool) *refusal.Refusal {
+func (e *Entry) start(r *request.Record, j joining) *refusal.Refusal {
 	keyDigest := r.Generation.KeyDigest()
 	if e.draining.Load() {
 		e.book.Remove(keyDigest, r)
@@ -104,7 +109,7 @@
 	go func() {
 		defer e.work.Done()
 		defer cancel()
-		if why := e.claimAndRun(ctx, r, forwarded); why != nil {
+		if why := e.claimAndRun(ctx, r, j); why != nil {
 			r.Fail(why)
 		}
 		if !r.Whole() {
@@ -115,7 +120,7 @@
 }
 
 // claimAndRun claims the key at its home, or joins the entry that has it.
-func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, forwarded bool) *refusal.Refusal {
+func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, j joining) *refusal.Refusal {
 	unreachable := ""
 	for range claimRounds {
 		outcome, home := e.claim(ctx, r, unreachable)
@@ -128,8 +133,10 @@
 			e.run(ctx, r, port.Attempt{KeyDigest: r.Generation.KeyDigest(), Number: o.Number}, home)
 			return nil
 		case claim.Held:
-			if why := e.join(ctx, r, o, forwarded); why == nil || why.Reason != refusal.HomeUnreachable {
-				return why
+			if o.KeeperAddress != j.lost {
+				if why := e.join(ctx, r, o, j); why == nil || why.Reason != refusal.HomeUnreachable {
+					return why
+				}
 			}
 			unreachable = o.Keeper
 		}
@@ -159,12 +166,12 @@
 }
 
 // join copies the answer that another entry keeps into this entry's record.
-func (e *Entry) join(ctx context.Context, r *request.Record, held claim.Held, forwarded bool) *refusal.Refusal {
-	if forwarded {
+func (e *Entry) join(ctx context.Context, r *request.Record, held claim.Held, j joining) *refusal.Refusal {
+	if j.forwarded {
 		return refusal.New(refusal.RanNo, refusal.HomeUnsettled, noHomeRetry, "the key's keeper changes")
 	}
 	r.ForwardTo(held.KeeperAddress)
-	return e.keepAt(ctx, held.KeeperAddress, r.Generation, 0, true, func(p request.Piece) error {
+	return e.keepAt(ctx, held.KeeperAddress, r.Generation, joining{forwarded: true}, func(p request.Piece) error {
 		r.Append(p.Tokens)
 		if p.Completion != nil {
 			r.Finish(p.Completion.FinishReason)
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -89,8 +89,11 @@
 	}
 	m, err := fleetv1.NewPeersProtobufClient(fleet.URL(address), e.http).Heartbeat(ctx, q)
 	if err != nil {
+		e.metrics.Add("heartbeats_missed", 1)
+		e.holdings.Missed(address)
 		return
 	}
+	e.holdings.Answered(address)
 	e.metrics.Add("heartbeats", 1)
 	e.reader.Offer(address, peer.ToView(m.GetView()))
 	e.crashes.merge(m.GetSuspects())
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -22,6 +22,16 @@
 )
 
 type (
+	// joining tells how a connection joins a key's record.
+	joining struct {
+		// offset is the number of tokens that the caller has.
+		offset int
+		// forwarded connections come from another keeper and are not sent on again.
+		forwarded bool
+		// lost is the address of an entry that was found unreachable, if any.
+		lost string
+	}
+
 	// send passes a piece of an answer on.
 	send func(request.Piece) error
 )
@@ -31,15 +41,16 @@
 func (e *Entry) relay(ctx context.Context, g request.Generation, offset int, out send) *refusal.Refusal {
 	keyDigest := g.KeyDigest()
 	var last *refusal.Refusal
+	lost := ""
 	for _, k := range e.route.Keepers(keyDigest) {
 		if ctx.Err() != nil {
 			break
 		}
 		var why *refusal.Refusal
 		if k.VM == e.settings.VM {
-			why = e.keep(ctx, g, offset, false, out)
+			why = e.keep(ctx, g, joining{offset: offset, lost: lost}, out)
 		} else {
-			why = e.keepAt(ctx, k.Address, g, offset, false, out)
+			why = e.keepAt(ctx, k.Address, g, joining{offset: offset, lost: lost}, out)
 		}
 		if why == nil {
 			e.delivered(ctx, k.Address, keyDigest)
@@ -49,7 +60,7 @@
 		if !nextKeeper(why) {
 			return why
 		}
-		offset = 0
+		offset, lost = 0, k.Address
 	}
 	if last == nil {
 		return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
@@ -58,20 +69,22 @@
 }
 
 // keepAt passes on the answer that another entry keeps.
-func (e *Entry) keepAt(ctx context.Context, address string, g request.Generation, offset int, forwarded bool, out send) *refusal.Refusal {
+func (e *Entry) keepAt(ctx context.Context, address string, g request.Generation, j joining, out send) *refusal.Refusal {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer e.holdings.OnLost(address, cancel)()
 	held := port.Attempt{KeyDigest: g.KeyDigest(), Number: e.connections.Add(1)}
 	e.holdings.Add(address, held)
 	defer e.holdings.Remove(address, held)
 	client := fleetv1connect.NewKeeperClient(e.http, fleet.URL(address))
 	stream, err := client.Keep(ctx, connect.NewRequest(&fleetv1.KeepRequest{
-		Partner:    g.Partner,
-		Rule:       g.Rule,
-		Request:    fromGeneration(g, offset),
-		Relay:      e.id,
-		Connection: held.Number,
-		Forwarded:  forwarded,
+		Partner:     g.Partner,
+		Rule:        g.Rule,
+		Request:     fromGeneration(g, j.offset),
+		Relay:       e.id,
+		Connection:  held.Number,
+		Forwarded:   j.forwarded,
+		LostAddress: j.lost,
 	}))
 	if err != nil {
 		return keeperLost(address)
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -58,6 +58,8 @@
 	Holdings interface {
 		Add(address string, a port.Attempt)
 		Remove(address string, a port.Attempt)
+		// OnLost calls lost when the process at an address misses its heartbeats.
+		OnLost(address string, lost func()) (forget func())
 	}
 
 	// Crashes records which content ran on upstreams that died.
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -76,6 +76,7 @@
 func (w *work) prefillAt(ctx context.Context, target Target, prompt string) (port.KV, *refusal.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, w.deadline.Add(prefillSlack))
 	defer cancel()
+	defer w.runner.holdings.OnLost(target.SidecarAddress, cancel)()
 	stream, err := w.runner.sidecars.Prefill(ctx, target.SidecarAddress, port.Prefill{
 		Attempt:     w.job.Attempt,
 		Keeper:      w.job.Keeper,
@@ -178,6 +179,9 @@
 
 // stream decodes into the record.
 func (w *work) stream(ctx context.Context, kv port.KV) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer w.runner.holdings.OnLost(w.decode.SidecarAddress, cancel)()
 	stream, err := w.runner.sidecars.Decode(ctx, w.decode.SidecarAddress, port.Decode{
 		Attempt:         w.job.Attempt,
 		Keeper:          w.job.Keeper,
