--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -30,10 +30,13 @@
 	return &crashes{entry: e, table: quarantine.NewTable()}
 }
 
-// Crashed implements generation.Crashes. The entries of the region hear of it before
+// Crashed implements generation.Crashes. The upstream's sidecar counts the crash and tells
+// it before it refuses, so that one crash is not counted twice here. The entries of the region hear of it before
 // the content is tried again.
 func (c *crashes) Crashed(fingerprint string, now time.Time) *refusal.Refusal {
-	c.table.Report([]string{fingerprint}, now)
+	if _, free := c.table.Check(fingerprint, now).(quarantine.Free); free {
+		c.table.Report([]string{fingerprint}, now)
+	}
 	c.spread()
 	return c.check(fingerprint, now)
 }
--- a/sidecar/cmd/gooseberry-sidecar/main.go
+++ b/sidecar/cmd/gooseberry-sidecar/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -23,7 +24,7 @@
 
 type (
 	flags struct {
-		Settings        string           `type:"path" help:"JSON file with the settings. Flags override it."`
+		Settings        string           `required:"" type:"existingfile" help:"JSON file with the settings; flags override it."`
 		Name            string           `help:"Name of the process, unique in the fleet."`
 		VM              string           `name:"vm" help:"Name of the VM in the platform's list."`
 		FleetAddress    string           `help:"IP:port that serves the system's own processes."`
@@ -38,10 +39,18 @@
 
 func main() {
 	var f flags
-	kong.Parse(&f,
+	k, err := kong.New(&f,
 		kong.Name("gooseberry-sidecar"),
-		kong.Description("Stands beside one model engine or plain service and owns its memory, leases and bookings."),
+		kong.Description("Stands beside one model engine or plain service and owns its memory, leases and bookings. "+
+			"SIGTERM drains: what runs is finished first."),
 		kong.Vars{"version": version})
+	if err != nil {
+		panic(err)
+	}
+	if _, err := k.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settingsExitCode)
+	}
 	os.Exit(run(&f))
 }
 
@@ -71,26 +80,18 @@
 
 func read(f *flags) (*sidecar.Settings, error) {
 	s := &sidecar.Settings{}
-	if f.Settings != "" {
-		if err := settings.Load(f.Settings, s); err != nil {
-			return s, err
-		}
+	if err := settings.Load(f.Settings, s); err != nil {
+		return s, err
 	}
-	override(&s.Name, f.Name)
-	override(&s.VM, f.VM)
-	override(&s.FleetAddress, f.FleetAddress)
-	override(&s.OperatorAddress, f.OperatorAddress)
-	override(&s.PlatformAddress, f.PlatformAddress)
-	override(&s.Upstream, f.Upstream)
-	override(&s.UpstreamAddress, f.UpstreamAddress)
+	settings.Override(&s.Name, f.Name)
+	settings.Override(&s.VM, f.VM)
+	settings.Override(&s.FleetAddress, f.FleetAddress)
+	settings.Override(&s.OperatorAddress, f.OperatorAddress)
+	settings.Override(&s.PlatformAddress, f.PlatformAddress)
+	settings.Override(&s.Upstream, f.Upstream)
+	settings.Override(&s.UpstreamAddress, f.UpstreamAddress)
 	if f.Kind != "" {
 		s.Kind = configuration.Kind(f.Kind)
 	}
 	return s, s.Check()
 }
-
-func override(field *string, flag string) {
-	if flag != "" {
-		*field = flag
-	}
-}
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -77,6 +77,7 @@
 		load      port.EngineLoad
 		loadAt    time.Time
 		orphans   map[string]time.Time
+		ticked    time.Time
 		counters  Counters
 	}
 
--- a/sidecar/engine/work.go
+++ b/sidecar/engine/work.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 )
@@ -164,6 +165,10 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.ticked.IsZero() && now.Sub(c.ticked) > pauseGap {
+		c.log.Info(event.Resumed, "paused_ms", now.Sub(c.ticked).Milliseconds())
+	}
+	c.ticked = now
 	c.settle(now)
 	for key, closure := range c.closed {
 		if now.After(closure.until) {
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -10,7 +10,6 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/port"
-	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/vm"
 )
 
@@ -31,7 +30,7 @@
 func (p *peers) Heartbeat(_ context.Context, q *fleetv1.HeartbeatRequest) (*fleetv1.HeartbeatResponse, error) {
 	c := p.sidecar
 	now := time.Now()
-	c.suspects.Merge(toSuspects(q.GetSuspects()), now)
+	c.suspects.Merge(wire.ToSuspects(q.GetSuspects()), now)
 	if q.GetView() != nil {
 		c.reader.Offer(q.GetFrom().GetFleetAddress(), peer.ToView(q.GetView()))
 	}
@@ -39,7 +38,7 @@
 		Process:  c.process(),
 		View:     peer.FromView(c.reader.View()),
 		Load:     c.load(),
-		Suspects: fromSuspects(c.suspects.Suspects(now)),
+		Suspects: wire.FromSuspects(c.suspects.Suspects(now)),
 		Lost:     c.renew(q),
 	}, nil
 }
@@ -78,7 +77,7 @@
 	message := &fleetv1.HeartbeatRequest{
 		From:     c.process(),
 		View:     peer.FromView(c.reader.View()),
-		Suspects: fromSuspects(c.suspects.Suspects(time.Now())),
+		Suspects: wire.FromSuspects(c.suspects.Suspects(time.Now())),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 	defer cancel()
@@ -96,27 +95,3 @@
 	}
 	wg.Wait()
 }
-
-func fromSuspects(list []quarantine.Suspect) []*fleetv1.Suspect {
-	messages := make([]*fleetv1.Suspect, 0, len(list))
-	for _, s := range list {
-		messages = append(messages, &fleetv1.Suspect{
-			Fingerprint:      s.Fingerprint,
-			Crashes:          int32(s.Crashes),
-			QuarantinedForMs: s.Remaining.Milliseconds(),
-		})
-	}
-	return messages
-}
-
-func toSuspects(messages []*fleetv1.Suspect) []quarantine.Suspect {
-	list := make([]quarantine.Suspect, 0, len(messages))
-	for _, m := range messages {
-		list = append(list, quarantine.Suspect{
-			Fingerprint: m.GetFingerprint(),
-			Crashes:     int(m.GetCrashes()),
-			Remaining:   wire.Milliseconds(m.GetQuarantinedForMs()),
-		})
-	}
-	return list
-}
