Mount claims and bookings in the sidecar

Cause: the sidecar served engines only; entries need the home of a key's claim beside each engine and the bookings beside each plain service. Drain of a service hands its records over before the exit. Ruled out: refusing unknown names of naive mechanisms, as one list is given to entries and sidecars.

--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -80,7 +80,7 @@
 	c.log.Info(event.EngineLost, "upstream", c.settings.Upstream)
 	if len(fingerprints) > 0 {
 		c.log.Info(event.Suspected, "fingerprints", fingerprints)
-		c.push()
+		go c.push()
 	}
 }
 
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -56,6 +56,7 @@
 			lost = append(lost, wire.FromAttempt(a))
 		}
 		return lost
+	case plainService:
 	}
 	return nil
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -59,8 +59,7 @@
 func (c *Sidecar) finish() {
 	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
 	defer cancel()
-	c.Drain()
-	c.AwaitIdle(ctx)
+	c.Drain(ctx)
 }
 
 func (c *Sidecar) serve(s *http.Server, l net.Listener) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/claim"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
@@ -25,6 +27,7 @@
 	"gooseberrypin.example/router/subscription"
 	"gooseberrypin.example/router/vm"
 	"gooseberrypin.example/sidecar/engine"
+	"gooseberrypin.example/sidecar/service"
 )
 
 const (
@@ -58,29 +61,36 @@
 	//sumtype:decl
 	upstream interface{ upstream() }
 
-	modelEngine struct{ controller *engine.Controller }
+	modelEngine struct {
+		controller *engine.Controller
+		claims     *claim.Table
+	}
+
+	plainService struct{ bookings *service.Sidecar }
 
 	// Option changes what a sidecar is built from.
 	Option func(*Sidecar)
 
 	// State is the state dump.
 	State struct {
-		Process       settingsState        `json:"process"`
+		Process       processState         `json:"process"`
 		Configuration subscription.State   `json:"configuration"`
+		Claims        int                  `json:"claims"`
 		Engine        *engine.State        `json:"engine,omitempty"`
 		Service       any                  `json:"service,omitempty"`
 		Suspects      []quarantine.Suspect `json:"suspects"`
 	}
 
-	settingsState struct {
-		Name       string    `json:"name"`
-		Kind       string    `json:"kind"`
-		VM         string    `json:"vm"`
-		Region     string    `json:"region"`
-		DataCentre string    `json:"data_centre"`
-		Upstream   string    `json:"upstream"`
-		Started    time.Time `json:"started"`
-		Draining   bool      `json:"draining"`
+	processState struct {
+		Name         string    `json:"name"`
+		Kind         string    `json:"kind"`
+		VM           string    `json:"vm"`
+		Region       string    `json:"region"`
+		DataCentre   string    `json:"data_centre"`
+		Upstream     string    `json:"upstream"`
+		FleetAddress string    `json:"fleet_address"`
+		Started      time.Time `json:"started"`
+		Draining     bool      `json:"draining"`
 	}
 )
 
@@ -120,7 +130,8 @@
 	return func(c *Sidecar) { c.platform = p }
 }
 
-func (modelEngine) upstream() {}
+func (modelEngine) upstream()  {}
+func (plainService) upstream() {}
 
 // SetFleetAddress sets the address that other processes see, once a free port is known.
 func (c *Sidecar) SetFleetAddress(address string) {
@@ -132,7 +143,9 @@
 	mux := http.NewServeMux()
 	switch u := c.upstream.(type) {
 	case modelEngine:
-		mountEngine(mux, u.controller)
+		mountEngine(mux, u)
+	case plainService:
+		mux.Handle(u.bookings.Handler())
 	}
 	peers := fleetv1.NewPeersServer(&peers{Publisher: peer.NewPublisher(c.reader), sidecar: c})
 	mux.Handle(peers.PathPrefix(), peers)
@@ -152,6 +165,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		wg.Go(func() { u.controller.Run(ctx) })
+	case plainService:
+		wg.Go(func() { u.bookings.Maintain(ctx) })
 	}
 	wg.Wait()
 }
@@ -161,8 +176,8 @@
 	return c.reader.Ready()
 }
 
-// Drain refuses new work from now on.
-func (c *Sidecar) Drain() {
+// Drain refuses new work from now on, and returns once what runs has ended or ctx ends.
+func (c *Sidecar) Drain(ctx context.Context) {
 	if c.draining.Swap(true) {
 		return
 	}
@@ -170,11 +185,13 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		u.controller.Drain()
+		c.awaitIdle(ctx)
+	case plainService:
+		u.bookings.Drain(ctx)
 	}
 }
 
-// AwaitIdle returns once nothing runs, or when ctx ends.
-func (c *Sidecar) AwaitIdle(ctx context.Context) {
+func (c *Sidecar) awaitIdle(ctx context.Context) {
 	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
 	for c.running() > 0 {
@@ -189,15 +206,16 @@
 // State returns the state dump.
 func (c *Sidecar) State() State {
 	s := State{
-		Process: settingsState{
-			Name:       c.settings.Name,
-			Kind:       processKind,
-			VM:         c.settings.VM,
-			Region:     c.settings.Region,
-			DataCentre: c.settings.DataCentre,
-			Upstream:   c.settings.Upstream,
-			Started:    c.started,
-			Draining:   c.draining.Load(),
+		Process: processState{
+			Name:         c.settings.Name,
+			Kind:         processKind,
+			VM:           c.settings.VM,
+			Region:       c.settings.Region,
+			DataCentre:   c.settings.DataCentre,
+			Upstream:     c.settings.Upstream,
+			FleetAddress: c.process().GetFleetAddress(),
+			Started:      c.started,
+			Draining:     c.draining.Load(),
 		},
 		Configuration: c.reader.State(),
 		Suspects:      c.suspects.Suspects(time.Now()),
@@ -206,12 +224,20 @@
 	case modelEngine:
 		state := u.controller.State()
 		s.Engine = &state
+		s.Claims = u.claims.Len()
+	case plainService:
+		s.Service = u.bookings.State()
 	}
 	return s
 }
 
 func (c *Sidecar) newUpstream() upstream {
-	return modelEngine{controller: engine.NewController(
+	if c.settings.Kind == configuration.KindService {
+		naive := slices.Contains(c.settings.Naive, naiveBookings)
+		of := service.Settings{Upstream: c.settings.Upstream, VM: c.settings.VM, Naive: naive}
+		return plainService{bookings: service.New(of, c.store, c.vms, c.client, c.log)}
+	}
+	return modelEngine{claims: claim.NewTable(), controller: engine.NewController(
 		engine.Settings{
 			Upstream:        c.settings.Upstream,
 			UpstreamAddress: c.settings.UpstreamAddress,
@@ -234,6 +260,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		return u.controller.Running()
+	case plainService:
+		return int(u.bookings.Load().GetRunning())
 	}
 	return 0
 }
@@ -242,6 +270,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		return wire.FromLoad(u.controller.Load())
+	case plainService:
+		return u.bookings.Load()
 	}
 	return nil
 }
@@ -269,5 +299,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		c.metrics.Set("engine", expvar.Func(func() any { return u.controller.State().Counters }))
+		c.metrics.Set("claims", expvar.Func(func() any { return u.claims.Len() }))
+	case plainService:
+		c.metrics.Set("service", u.bookings.Metrics())
 	}
 }
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -11,6 +11,7 @@
 	"gooseberrypin.example/gen/fleet/v1/fleetv1connect"
 	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/sidecar/claims"
 	"gooseberrypin.example/sidecar/engine"
 )
 
@@ -35,7 +36,10 @@
 	}
 )
 
-func mountEngine(mux *http.ServeMux, c *engine.Controller) {
+func mountEngine(mux *http.ServeMux, u modelEngine) {
+	c := u.controller
+	homes := fleetv1.NewClaimsServer(claims.NewServer(u.claims))
+	mux.Handle(homes.PathPrefix(), homes)
 	unary := fleetv1.NewEnginesServer(&engines{controller: c})
 	mux.Handle(unary.PathPrefix(), unary)
 	limit := connect.WithReadMaxBytes(maxRequestBytes)
