--- a/router/configuration/decode.go
+++ b/router/configuration/decode.go
@@ -33,7 +33,8 @@
 }
 
 // decode reads one JSON value into target, which points to a struct. Each unknown field,
-// repeated field and value of a wrong type becomes a fault with its path.
+// repeated field and value of a wrong type becomes a fault with its path. A list or map may
+// be null, which counts as empty.
 func decode(content []byte, target any, path string, f *faults) {
 	if !json.Valid(content) {
 		f.addf(path, "not a JSON value: %s", syntaxError(content))
@@ -60,7 +61,8 @@
 		v.Set(reflect.New(v.Type().Elem()))
 		decodeValue(raw, v.Elem(), path, f)
 	default:
-		if err := json.Unmarshal(raw, v.Addr().Interface()); err != nil || isNull(raw) {
+		missing := isNull(raw) && v.Kind() != reflect.Map
+		if err := json.Unmarshal(raw, v.Addr().Interface()); err != nil || missing {
 			f.addf(path, "want %s, have %s", typeName(v.Kind()), shorten(raw))
 		}
 	}
@@ -97,7 +99,7 @@
 
 func decodeList(raw json.RawMessage, v reflect.Value, path string, f *faults) {
 	var items []json.RawMessage
-	if err := json.Unmarshal(raw, &items); err != nil || isNull(raw) {
+	if err := json.Unmarshal(raw, &items); err != nil {
 		f.addf(path, "want a list, have %s", shorten(raw))
 		return
 	}
--- a/router/configuration/index.go
+++ b/router/configuration/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -72,6 +73,14 @@
 	return i.poolsOf[upstream]
 }
 
+// RoleOf returns the role of the pools that an upstream is in, or "".
+func (i *Index) RoleOf(upstream string) Role {
+	if pools := i.poolsOf[upstream]; len(pools) > 0 {
+		return pools[0].Role
+	}
+	return ""
+}
+
 // RuleForModel returns the rule of a model, or nil.
 func (i *Index) RuleForModel(model string) *Rule {
 	return i.byModel[model]
@@ -106,10 +115,7 @@
 		}
 	}
 	slices.SortFunc(i.members[p.Name], func(a, b *Upstream) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+		return strings.Compare(a.Name, b.Name)
 	})
 	return nil
 }
--- a/router/configuration/manifest.go
+++ b/router/configuration/manifest.go
@@ -108,12 +108,19 @@
 // Build checks a manifest and its parts, which are found by their SHA-256, and returns
 // the snapshot or all faults. The result depends on the content alone.
 func Build(manifest []byte, parts map[string][]byte) (*Snapshot, []Fault) {
+	return BuildFrom(nil, manifest, parts)
+}
+
+// BuildFrom does as Build, and doesn't decode again the parts that an earlier snapshot
+// has. The earlier snapshot may be nil; it doesn't change the result.
+func BuildFrom(earlier *Snapshot, manifest []byte, parts map[string][]byte) (*Snapshot, []Fault) {
 	m, list := ReadManifest(manifest)
 	if len(list) > 0 {
 		return nil, list
 	}
 	f := &faults{}
-	c := merge(m, parts, f)
+	decoded := decodeParts(m, earlier, parts, f)
+	c := merge(m, decoded, f)
 	if len(f.list) > 0 {
 		return nil, f.list
 	}
@@ -131,6 +138,7 @@
 		Manifest: manifest,
 		Parts:    m.only(parts),
 		Index:    index,
+		decoded:  decoded,
 	}, nil
 }
 
@@ -143,17 +151,34 @@
 	return own
 }
 
+// decodeParts returns the parts by their SHA-256.
+func decodeParts(m *Manifest, earlier *Snapshot, parts map[string][]byte, f *faults) map[string]*part {
+	decoded := make(map[string]*part, len(m.Parts))
+	for _, reference := range m.Parts {
+		content, found := parts[reference.SHA256]
+		if !checkContent(reference, content, found, f) {
+			continue
+		}
+		if p := earlier.decodedPart(reference.SHA256); p != nil {
+			decoded[reference.SHA256] = p
+			continue
+		}
+		p := &part{}
+		decode(content, p, "parts."+reference.Name, f)
+		decoded[reference.SHA256] = p
+	}
+	return decoded
+}
+
 // merge joins the parts in the manifest's order.
-func merge(m *Manifest, parts map[string][]byte, f *faults) *Configuration {
+func merge(m *Manifest, decoded map[string]*part, f *faults) *Configuration {
 	c := &Configuration{Revision: m.Revision}
 	limitsIn := ""
 	for _, reference := range m.Parts {
-		content, found := parts[reference.SHA256]
-		if !checkContent(reference, content, found, f) {
+		p, found := decoded[reference.SHA256]
+		if !found {
 			continue
 		}
-		p := part{}
-		decode(content, &p, "parts."+reference.Name, f)
 		c.Upstreams = append(c.Upstreams, p.Upstreams...)
 		c.Pools = append(c.Pools, p.Pools...)
 		c.Rules = append(c.Rules, p.Rules...)
--- a/router/configuration/store.go
+++ b/router/configuration/store.go
@@ -15,6 +15,9 @@
 		// Parts are the parts as published, by their SHA-256 in hexadecimal.
 		Parts map[string][]byte
 		Index *Index
+
+		// decoded are the parts as read, so that the next snapshot can share them.
+		decoded map[string]*part
 	}
 
 	// Store holds the configuration in force; its revision only rises.
@@ -25,6 +28,14 @@
 	}
 )
 
+// decodedPart returns a part of the snapshot, or nil. The snapshot may be nil.
+func (s *Snapshot) decodedPart(sha256 string) *part {
+	if s == nil {
+		return nil
+	}
+	return s.decoded[sha256]
+}
+
 // NewStore returns a store without a configuration.
 func NewStore() *Store {
 	return &Store{changed: make(chan struct{})}
--- /dev/null
+++ b/router/event/standin.go
@@ -0,0 +1,7 @@
+package event
+
+// Events of the stand-ins.
+var (
+	// StandinListening tells the address that a stand-in serves.
+	StandinListening = Event{Number: 9001, Text: "stand-in listening"}
+)
--- a/router/label/selector.go
+++ b/router/label/selector.go
@@ -30,6 +30,7 @@
 	operator int
 
 	requirement struct {
+		text     string
 		key      string
 		operator operator
 		values   []string
@@ -45,6 +46,7 @@
 		if err != nil {
 			return Selector{}, err
 		}
+		r.text = strings.TrimSpace(part)
 		s.requirements = append(s.requirements, r)
 	}
 	return s, nil
@@ -68,6 +70,17 @@
 	return true
 }
 
+// Unmet returns the requirements that don't hold, as they were written.
+func (s Selector) Unmet(l Labels) []string {
+	unmet := []string{}
+	for _, r := range s.requirements {
+		if !r.matches(l) {
+			unmet = append(unmet, r.text)
+		}
+	}
+	return unmet
+}
+
 func (r requirement) matches(l Labels) bool {
 	value, found := l[r.key]
 	switch r.operator {
--- a/router/subscription/candidate.go
+++ b/router/subscription/candidate.go
@@ -123,7 +123,7 @@
 		r.log.Error(err, event.ConfigurationPartMissing, "revision", c.revision, "digest", c.digest, "from", c.from)
 		return false
 	}
-	snapshot, faults := configuration.Build(c.manifest, parts)
+	snapshot, faults := configuration.BuildFrom(r.store.Current(), c.manifest, parts)
 	if len(faults) > 0 {
 		c.parts = parts
 		r.refuse(c)
