Test the engine sidecar's decisions against naive ones

Cause: leases, suspects, orders and turns at the weight store had no focused tests. A turn now has a number and is used once. Ruled out: ranks per revision, which break the rate when revisions follow closely.

--- a/router/order/order.go
+++ b/router/order/order.go
@@ -11,7 +11,7 @@
 
 const (
 	defaultLoadsPerMinute = 60
-	slotKey               = "weight-load"
+	turnKey               = "weight-load"
 )
 
 type (
@@ -21,6 +21,13 @@
 		Models []string
 	}
 
+	// Turn is a time at which an upstream may load one model from the weight store.
+	Turn struct {
+		Number int64
+		// Wait is the time until it begins. Zero: it lasts.
+		Wait time.Duration
+	}
+
 	// Fencing orders all orders to one engine.
 	Fencing struct {
 		Revision int64
@@ -74,30 +81,29 @@
 	return [3]int64{f.Revision, f.Start, f.Counter}
 }
 
-// LoadSlot returns how long an upstream waits for its turn at the weight store. Turns go
-// round by rank and by the clock, one load in each, so that the store's rate holds over
-// revisions and restarts. It is zero while the turn lasts.
-func LoadSlot(index *configuration.Index, upstream string, now time.Time) time.Duration {
+// NextTurn returns an upstream's turn at the weight store that lasts or comes next. Turns go
+// round by rank and by the clock, so that the store's rate holds over revisions and
+// restarts, as long as an upstream loads at most one model in each.
+func NextTurn(index *configuration.Index, upstream string, now time.Time) Turn {
 	var names []string
 	for _, u := range index.Configuration().Upstreams {
 		if u.Kind == configuration.KindEngine {
 			names = append(names, u.Name)
 		}
 	}
-	rank := slices.Index(rendezvous.Rank(slotKey, names, len(names)), upstream)
-	if rank < 0 {
-		return time.Minute
-	}
 	perMinute := index.Configuration().Limits.WeightLoadsPerMinute
 	if perMinute <= 0 {
 		perMinute = defaultLoadsPerMinute
 	}
 	slot := time.Minute / time.Duration(perMinute)
-	round := slot * time.Duration(len(names))
-	position := time.Duration(now.UnixNano()) % round
-	start := slot * time.Duration(rank)
-	if position >= start && position < start+slot/2 {
-		return 0
+	round := slot * time.Duration(max(1, len(names)))
+	rank := slices.Index(rendezvous.Rank(turnKey, names, len(names)), upstream)
+	offset := slot * time.Duration(max(0, rank))
+	since := time.Duration(now.UnixNano()) - offset
+	number := int64(since / round)
+	position := since % round
+	if position < slot/2 {
+		return Turn{Number: number}
 	}
-	return (start - position + round) % round
+	return Turn{Number: number + 1, Wait: round - position}
 }
--- /dev/null
+++ b/router/quarantine/quarantine_test.go
@@ -0,0 +1,119 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/quarantine"
+)
+
+const (
+	rounds     = 200
+	neighbours = 6
+	killer     = "killer"
+)
+
+// drive sends a killer and its neighbours to engines again and again. Every engine that
+// runs the killer dies. It returns the lost engines and the refused innocents.
+func drive(random *rand.Rand, check func(fingerprint string) quarantine.Verdict, report func(running []string)) (lost, refused int) {
+	for range rounds {
+		var running []string
+		suspects := 0
+		for _, n := range random.Perm(neighbours + 1) {
+			fingerprint := fmt.Sprintf("innocent-%d", n)
+			if n == neighbours {
+				fingerprint = killer
+			}
+			switch check(fingerprint).(type) {
+			case quarantine.Free:
+				running = append(running, fingerprint)
+			case quarantine.Suspected:
+				if suspects == 0 {
+					running = append(running, fingerprint)
+				}
+				suspects++
+			case quarantine.Quarantined:
+				if fingerprint != killer {
+					refused++
+				}
+			}
+		}
+		for _, fingerprint := range running {
+			if fingerprint == killer {
+				report(running)
+				lost++
+			}
+		}
+	}
+	return lost, refused
+}
+
+func TestKillerLosesAtMostTwoEngines(t *testing.T) {
+	type result struct{ lost, refused int }
+	tests := map[string]struct {
+		seed  uint64
+		naive bool
+		want  result
+	}{
+		"naive":  {seed: 1, naive: true, want: result{lost: rounds}},
+		"seed 1": {seed: 1, want: result{lost: 2}},
+		"seed 2": {seed: 2, want: result{lost: 2}},
+		"seed 3": {seed: 3, want: result{lost: 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table, now := quarantine.NewTable(), time.Now()
+			check := func(f string) quarantine.Verdict { return table.Check(f, now) }
+			report := func(running []string) { table.Report(running, now) }
+			if test.naive {
+				check = func(string) quarantine.Verdict { return quarantine.Free{} }
+			}
+			lost, refused := drive(rand.New(rand.NewPCG(test.seed, 0)), check, report)
+			is.New(t).Equal(result{lost: lost, refused: refused}, test.want)
+		})
+	}
+}
+
+func TestMerge(t *testing.T) {
+	now := time.Now()
+	minute := time.Minute
+	tests := map[string]struct {
+		own    int
+		merged quarantine.Suspect
+		after  time.Duration
+		want   quarantine.Verdict
+	}{
+		"unknown suspect":     {merged: quarantine.Suspect{Crashes: 1, Remaining: minute}, want: quarantine.Suspected{}},
+		"quarantine":          {own: 1, merged: quarantine.Suspect{Crashes: 2, Remaining: minute}, want: quarantine.Quarantined{Remaining: minute}},
+		"fewer crashes":       {own: 2, merged: quarantine.Suspect{Crashes: 1, Remaining: minute}, want: quarantine.Quarantined{Remaining: 2 * minute}},
+		"echo does not renew": {own: 2, merged: quarantine.Suspect{Crashes: 2, Remaining: 2*minute + time.Millisecond}, want: quarantine.Quarantined{Remaining: 2 * minute}},
+		"forgotten in time":   {own: 2, after: 2*minute + 1, want: quarantine.Free{}},
+		"nothing remains":     {merged: quarantine.Suspect{Crashes: 2}, want: quarantine.Free{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := quarantine.NewTable(quarantine.WithTerm(2 * minute))
+			for range test.own {
+				table.Report([]string{killer}, now)
+			}
+			test.merged.Fingerprint = killer
+			table.Merge([]quarantine.Suspect{test.merged}, now)
+			is.New(t).Equal(table.Check(killer, now.Add(test.after)), test.want)
+		})
+	}
+}
+
+func TestBoundedTable(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.NewTable(quarantine.WithCapacity(2))
+	for i, fingerprint := range []string{"a", "b", "c"} {
+		table.Report([]string{fingerprint}, now.Add(time.Duration(i)*time.Second))
+	}
+	is.Equal(len(table.Suspects(now)), 2)
+	is.Equal(table.Check("a", now), quarantine.Free{}) // the one that ends first makes room
+}
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -76,9 +76,11 @@
 		reshaping bool
 		load      port.EngineLoad
 		loadAt    time.Time
-		orphans   map[string]time.Time
-		ticked    time.Time
-		counters  Counters
+		// loadTurn is the turn at the weight store that was used last.
+		loadTurn int64
+		orphans  map[string]time.Time
+		ticked   time.Time
+		counters Counters
 	}
 
 	// Counters count what a controller did since its start.
--- /dev/null
+++ b/sidecar/engine/controller_test.go
@@ -0,0 +1,230 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/vm"
+)
+
+func ignoreDecode(port.DecodeEvent) error { return nil }
+
+func TestExpiredLeasesComeBeforeNewWork(t *testing.T) {
+	tests := map[string]struct {
+		naive Naive
+		free  bool
+	}{
+		"expired first": {free: true},
+		"naive":         {naive: Naive{KeepsLeases: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(configuration.RoleDecode, WithNaive(test.naive), WithMemory(4, 100))
+				first, second := reservation("k1", 250), reservation("k2", 250)
+				is.Equal(b.controller.Reserve(first), nil)
+				// The process does nothing at all for longer than a lease, as if it were paused.
+				<-time.After(LeaseLength + time.Millisecond)
+				is.Equal(b.controller.Reserve(second) == nil, test.free)
+			})
+		})
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	leaving := func(c *configuration.Configuration) { c.Upstreams[0].Leaving = true }
+	decode := func(c *configuration.Configuration) { c.Upstreams[0].Labels["role"] = "decode" }
+	tests := map[string]struct {
+		change func(*configuration.Configuration)
+		vm     vm.State
+		drain  bool
+		model  string
+		want   refusal.Reason
+	}{
+		"taken":           {change: decode},
+		"drain":           {change: decode, drain: true, want: refusal.Leaving},
+		"leaving":         {change: func(c *configuration.Configuration) { decode(c); leaving(c) }, want: refusal.Leaving},
+		"vm leaves":       {change: decode, vm: vm.Leaving, want: refusal.Leaving},
+		"vm lives":        {change: decode, vm: vm.Live},
+		"other role":      {change: func(c *configuration.Configuration) { c.Upstreams[0].Labels["role"] = "prefill" }, want: refusal.WrongRole},
+		"no pool":         {change: func(*configuration.Configuration) {}, want: refusal.WrongRole},
+		"unknown model":   {change: decode, model: "other", want: refusal.WrongRole},
+		"no longer there": {change: func(c *configuration.Configuration) { c.Upstreams[0].Name = "u2" }, want: refusal.Leaving},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(configuration.RoleDecode)
+			b.publish(2, test.change)
+			if test.vm != "" {
+				b.vms.Put(&vm.List{Version: 1, VMs: []vm.VM{{Name: "vm1", State: test.vm}}})
+			}
+			if test.drain {
+				b.controller.Drain()
+			}
+			r := reservation("k", 1)
+			if test.model != "" {
+				r.Model = test.model
+			}
+			got := b.controller.Reserve(r)
+			if test.want == 0 {
+				is.Equal(got, nil)
+				return
+			}
+			is.Equal(got.Reason, test.want)
+			is.Equal(got.Ran, refusal.RanNo)
+		})
+	}
+}
+
+func TestNoPrefillWithoutReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(configuration.RolePrefill)
+		work := port.Prefill{Attempt: port.Attempt{KeyDigest: "k", Number: 1}, Keeper: testKeeper, Model: testModel, Prompt: "quilt", Budget: time.Second}
+		var events []port.PrefillEvent
+		emit := func(e port.PrefillEvent) error {
+			events = append(events, e)
+			return nil
+		}
+		r := b.controller.Prefill(context.Background(), work, emit)
+		is.Equal(r.Reason, refusal.Deadline)
+		is.Equal(r.Ran, refusal.RanNo)
+		is.Equal(b.engine.prefills, 0)
+		is.Equal(events[len(events)-1], port.AtHead{})
+		is.Equal(b.controller.Running(), 0)
+	})
+}
+
+func TestStalledTransferEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(configuration.RoleDecode)
+		b.engine.stalls = true
+		work := reservation("k", 10)
+		is.Equal(b.controller.Reserve(work), nil)
+		began := time.Now()
+		r := b.controller.Decode(context.Background(), decodeOf(work), ignoreDecode)
+		is.Equal(r.Reason, refusal.KVLost)
+		is.Equal(r.Ran, refusal.RanNo)
+		is.Equal(time.Since(began), stallAfter)
+		is.Equal(b.engine.held(), 0)
+		is.Equal(b.controller.memory.Held(), 0)
+	})
+}
+
+func TestOrphansAreCancelled(t *testing.T) {
+	tests := map[string]struct {
+		naive Naive
+		left  int
+	}{
+		"swept": {},
+		"naive": {naive: Naive{KeepsOrphans: true}, left: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(configuration.RoleDecode, WithNaive(test.naive))
+				b.engine.streams["left.1"] = 3
+				defer b.run()()
+				<-time.After(orphanGrace)
+				is.Equal(b.engine.held(), 1)
+				<-time.After(2 * sweepInterval)
+				is.Equal(b.engine.held(), test.left)
+			})
+		})
+	}
+}
+
+func TestEngineDeathNamesSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(configuration.RoleDecode)
+		results := make(chan *refusal.Refusal)
+		for _, key := range []string{"k1", "k2", "k3"} {
+			work := reservation(key, 10)
+			is.Equal(b.controller.Reserve(work), nil)
+			go func() { results <- b.controller.Decode(context.Background(), decodeOf(work), ignoreDecode) }()
+		}
+		<-time.After(5 * tokenTime)
+		close(b.engine.dead)
+		for range 3 {
+			r := <-results
+			is.Equal(r.Reason, refusal.UpstreamLost)
+			is.Equal(r.Ran, refusal.RanYes)
+		}
+		synctest.Wait()
+		var names []string
+		for _, s := range b.controller.suspects.Suspects(time.Now()) {
+			is.Equal(s.Crashes, 1) // one crash counts once, however many saw it
+			names = append(names, s.Fingerprint)
+		}
+		is.Equal(names, []string{"f-k1", "f-k2", "f-k3"})
+		is.Equal(b.controller.Reserve(reservation("k4", 10)).Reason, refusal.UpstreamLost)
+		is.Equal(b.controller.memory.Held(), 0)
+	})
+}
+
+func TestSuspectRunsWithoutOtherSuspects(t *testing.T) {
+	is := is.New(t)
+	suspects := quarantine.NewTable()
+	suspects.Report([]string{"f-k1", "f-k2"}, time.Now())
+	b := newBench(configuration.RoleDecode, WithSuspects(suspects))
+	is.Equal(b.controller.Reserve(reservation("k1", 10)), nil)
+	is.Equal(b.controller.Reserve(reservation("k2", 10)).Reason, refusal.Overloaded)
+	is.Equal(b.controller.Reserve(reservation("k3", 10)), nil)
+}
+
+func TestOrders(t *testing.T) {
+	tests := map[string]struct {
+		naive Naive
+		// running is the number of streams at the engine when the order came.
+		running int
+	}{
+		"finishes streams first": {},
+		"naive":                  {naive: Naive{OrdersAtOnce: true}, running: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(configuration.RoleDecode, WithNaive(test.naive))
+				b.engine.load = port.EngineLoad{Role: "decode", Models: []string{testModel}}
+				work := reservation("k", 10)
+				defer b.run()()
+				<-time.After(2 * probeInterval)
+				is.Equal(b.controller.Reserve(work), nil)
+				ctx, cancel := context.WithCancel(context.Background())
+				go b.controller.Decode(ctx, decodeOf(work), ignoreDecode)
+				<-time.After(2 * tokenTime)
+				b.publish(2, func(c *configuration.Configuration) { c.Upstreams[0].Labels["role"] = "prefill" })
+				<-time.After(2 * reconcileInterval)
+				is.Equal(len(b.engine.ordered()), test.running)
+				is.Equal(b.controller.Reserve(reservation("k2", 10)).Reason, refusal.WrongRole)
+				b.publish(3, func(c *configuration.Configuration) { c.Upstreams[0].Labels["role"] = "prefill" })
+				cancel()
+				<-time.After(2 * reconcileInterval)
+				orders := b.engine.ordered()
+				is.Equal(len(orders), 1)
+				is.Equal(orders[0].Role, "prefill")
+				is.Equal(orders[0].Fencing[0], int64(3-test.running)) // the newest revision when it was given
+				b.publish(4, func(c *configuration.Configuration) { c.Upstreams[0].Labels["role"] = "decode" })
+				<-time.After(4 * reconcileInterval)
+				orders = b.engine.ordered()
+				is.Equal(len(orders), 2)
+				is.True(slices.Compare(orders[1].Fencing[:], orders[0].Fencing[:]) > 0)
+			})
+		})
+	}
+}
--- a/sidecar/engine/reconcile.go
+++ b/sidecar/engine/reconcile.go
@@ -69,17 +69,18 @@
 // upstream's turn at the weight store.
 func (c *Controller) models(index *configuration.Index, target order.Target, now time.Time) []string {
 	models := make([]string, 0, len(target.Models))
-	loads := 0
-	mayLoad := order.LoadSlot(index, c.settings.Upstream, now) == 0
+	turn := order.NextTurn(index, c.settings.Upstream, now)
+	mayLoad := turn.Wait == 0 && turn.Number != c.loadTurn
 	for _, m := range target.Models {
 		held := slices.Contains(c.load.Models, m)
 		if held {
 			models = append(models, m)
 			continue
 		}
-		if mayLoad && loads == 0 {
+		if mayLoad {
 			models = append(models, m)
-			loads++
+			c.loadTurn = turn.Number
+			mayLoad = false
 		}
 	}
 	return models
