--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -90,7 +90,7 @@
 	return func(f *Fleet) { f.linked = true }
 }
 
-// WithNaive switches mechanisms of the daemons off.
+// WithNaive switches mechanisms off, named entry.MECHANISM or sidecar.MECHANISM.
 func WithNaive(mechanisms ...string) Option {
 	return func(f *Fleet) { f.naive = mechanisms }
 }
@@ -233,7 +233,7 @@
 	if n.kind() == configuration.KindService {
 		return []string{"service", "--listen", n.address}
 	}
-	return append([]string{"engine", "--listen", n.address}, f.engine...)
+	return append([]string{"engine", "--listen", n.address, "--heeds-fencing"}, f.engine...)
 }
 
 func (f *Fleet) addDaemon(n *node) error {
--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"strings"
+
 	"gooseberrypin.example/router/settings"
 )
 
@@ -30,7 +32,7 @@
 			Seed:            1,
 		},
 		CallerAddress: n.caller,
-		Naive:         f.naive,
+		Naive:         f.naiveOf(n),
 	}
 	if !n.isEntry() {
 		s.Upstream, s.UpstreamAddress, s.Kind = n.name, n.address, string(n.kind())
@@ -41,6 +43,22 @@
 	return s, nil
 }
 
+// naiveOf returns the mechanisms that one process is to switch off. They are named
+// entry.MECHANISM or sidecar.MECHANISM.
+func (f *Fleet) naiveOf(n *node) []string {
+	prefix := "sidecar."
+	if n.isEntry() {
+		prefix = "entry."
+	}
+	var list []string
+	for _, m := range f.naive {
+		if name, found := strings.CutPrefix(m, prefix); found {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // linkProcess routes all that a process dials through links of its own.
 func (f *Fleet) linkProcess(n *node, s *processSettings) error {
 	from := n.process()
