Wait until a fleet is ready, and name a state dump's part alike

Cause: the demo sent before a configuration was in force; the entry's dump named its configuration 'subscription', the sidecar's 'configuration', so that nobody could look at the same path on all processes.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -32,7 +32,7 @@
 		FleetAddress string               `json:"fleet_address"`
 		Started      time.Time            `json:"started"`
 		Draining     bool                 `json:"draining"`
-		Subscription subscription.State   `json:"subscription"`
+		Subscription subscription.State   `json:"configuration"`
 		Running      int                  `json:"running"`
 		Ended        int                  `json:"ended"`
 		Loads        map[string]port.Load `json:"loads"`
--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -114,8 +114,8 @@
 	return p, nil
 }
 
-// Start starts the processes that do not run yet. The platform has the configuration
-// and the VM list before any other process starts.
+// Start starts the processes that do not run yet and waits until they are ready. The
+// platform has the configuration and the VM list before any other process starts.
 func (f *Fleet) Start() error {
 	for _, name := range f.order {
 		if f.processes[name].Running() {
@@ -125,7 +125,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.AwaitReady()
 }
 
 // StartOne starts one process; the platform gets the newest configuration and VM list.
--- a/scenario/fleet/layout.go
+++ b/scenario/fleet/layout.go
@@ -102,7 +102,7 @@
 		Address:        n.address,
 		SidecarAddress: n.fleet,
 		Labels:         label.Labels{labelRole: string(n.role), labelTier: "steady"},
-		HeedsFencing:   true,
+		HeedsFencing:   n.kind() == configuration.KindEngine,
 	}
 }
 
--- a/scenario/requests_test.go
+++ b/scenario/requests_test.go
@@ -154,3 +154,18 @@
 	}
 	return json.Marshal(sent.record.Answer())
 }
+
+// answerCounts returns how many of the named requests are in each state.
+func (s *stage) answerCounts(names []string) ([]byte, error) {
+	counts := map[answer.State]int{
+		answer.Running: 0, answer.Whole: 0, answer.Cut: 0, answer.Refused: 0, answer.Cancelled: 0, answer.Wrong: 0,
+	}
+	for _, name := range names {
+		sent, err := s.sending(name)
+		if err != nil {
+			return nil, err
+		}
+		counts[sent.record.Answer().State]++
+	}
+	return json.Marshal(counts)
+}
--- a/scenario/stage_test.go
+++ b/scenario/stage_test.go
@@ -94,6 +94,8 @@
 	switch kind {
 	case "answer":
 		return s.answerDocument(name)
+	case "answers":
+		return s.answerCounts(strings.Split(name, ","))
 	case "stats", "streams":
 		return s.upstreamPage(name, "/v1/"+kind)
 	case "runs":
