--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -90,7 +90,7 @@
 	return func(f *Fleet) { f.linked = true }
 }
 
-// WithNaive switches mechanisms of the daemons off.
+// WithNaive switches mechanisms off, named entry.MECHANISM or sidecar.MECHANISM.
 func WithNaive(mechanisms ...string) Option {
 	return func(f *Fleet) { f.naive = mechanisms }
 }
@@ -114,8 +114,8 @@
 	return p, nil
 }
 
-// Start starts the processes that do not run yet. The platform has the configuration
-// and the VM list before any other process starts.
+// Start starts the processes that do not run yet and waits until they are ready. The
+// platform has the configuration and the VM list before any other process starts.
 func (f *Fleet) Start() error {
 	for _, name := range f.order {
 		if f.processes[name].Running() {
@@ -125,7 +125,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.AwaitReady()
 }
 
 // StartOne starts one process; the platform gets the newest configuration and VM list.
@@ -233,7 +233,7 @@
 	if n.kind() == configuration.KindService {
 		return []string{"service", "--listen", n.address}
 	}
-	return append([]string{"engine", "--listen", n.address}, f.engine...)
+	return append([]string{"engine", "--listen", n.address, "--heeds-fencing"}, f.engine...)
 }
 
 func (f *Fleet) addDaemon(n *node) error {
