Name answers, so that a resend never mixes two of them

Answers now have an id; an offset counts only for the same answer; a relay gives the next keeper the tokens it passed on, which continues from them.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -36,7 +36,8 @@
 	if why != nil {
 		return c.refuse(why)
 	}
-	why = c.entry.relay(ctx, g, int(q.Msg.GetOffsetTokens()), func(p request.Piece) error {
+	at := request.Position{AnswerID: q.Msg.GetAnswerId(), Offset: int(q.Msg.GetOffsetTokens())}
+	why = c.entry.relay(ctx, g, at, func(p request.Piece) error {
 		return s.Send(fromPiece(p))
 	})
 	if why != nil {
@@ -54,7 +55,7 @@
 	}
 	var tokens []string
 	var completion *request.Completion
-	why = c.entry.relay(ctx, g, 0, func(p request.Piece) error {
+	why = c.entry.relay(ctx, g, request.Position{}, func(p request.Piece) error {
 		tokens = append(tokens[:min(p.Offset, len(tokens))], p.Tokens...)
 		completion = p.Completion
 		return nil
@@ -144,6 +145,7 @@
 
 func fromPiece(p request.Piece) *callerv1.GenerateResponse {
 	return &callerv1.GenerateResponse{
+		AnswerId:     p.AnswerID,
 		OffsetTokens: int64(p.Offset),
 		Tokens:       p.Tokens,
 		Completion:   fromCompletion(p.Completion),
@@ -152,6 +154,7 @@
 
 func toPiece(m *callerv1.GenerateResponse) request.Piece {
 	return request.Piece{
+		AnswerID:   m.GetAnswerId(),
 		Offset:     int(m.GetOffsetTokens()),
 		Tokens:     m.GetTokens(),
 		Completion: toCompletion(m.GetCompletion()),
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -38,7 +38,11 @@
 	k.entry.relays.add(q.Msg.GetRelay(), item, cancel)
 	defer k.entry.relays.remove(q.Msg.GetRelay(), item)
 	j := joining{
-		offset:    int(q.Msg.GetRequest().GetOffsetTokens()),
+		at: request.Position{
+			AnswerID: q.Msg.GetRequest().GetAnswerId(),
+			Offset:   int(q.Msg.GetRequest().GetOffsetTokens()),
+		},
+		prefix:    q.Msg.GetPrefix(),
 		forwarded: q.Msg.GetForwarded(),
 		lost:      q.Msg.GetLostAddress(),
 	}
@@ -69,9 +73,9 @@
 		if why := e.start(r, j); why != nil {
 			return why
 		}
-		j.offset = 0
+		j.at = j.begin()
 	}
-	reader, why := r.Join(j.offset)
+	reader, why := r.Join(j.at)
 	if why != nil {
 		return why
 	}
@@ -105,6 +109,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(e.context))
 	r.Bind(cancel)
+	if len(j.prefix) > 0 {
+		r.Continue(j.at.AnswerID, j.prefix)
+	}
 	e.work.Add(1)
 	go func() {
 		defer e.work.Done()
@@ -134,7 +141,7 @@
 			return nil
 		case claim.Held:
 			if o.KeeperAddress != j.lost {
-				if why := e.join(ctx, r, o, j); why == nil || why.Reason != refusal.HomeUnreachable {
+				if why := e.join(ctx, r, o, j); why == nil || why.Reason != refusal.KeeperLost {
 					return why
 				}
 			}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -24,8 +24,10 @@
 type (
 	// joining tells how a connection joins a key's record.
 	joining struct {
-		// offset is the number of tokens that the caller has.
-		offset int
+		// at is what the caller has.
+		at request.Position
+		// prefix are the caller's tokens from offset 0, when its keeper was lost.
+		prefix []string
 		// forwarded connections come from another keeper and are not sent on again.
 		forwarded bool
 		// lost is the address of an entry that was found unreachable, if any.
@@ -37,30 +39,34 @@
 )
 
 // relay finds the keeper of a generation and passes the answer on. A keeper that is
-// lost is replaced by the next one, whose answer starts again at offset 0.
-func (e *Entry) relay(ctx context.Context, g request.Generation, offset int, out send) *refusal.Refusal {
+// lost is replaced by the next one, which continues from what was passed on.
+func (e *Entry) relay(ctx context.Context, g request.Generation, at request.Position, out send) *refusal.Refusal {
 	keyDigest := g.KeyDigest()
 	var last *refusal.Refusal
-	lost := ""
+	j := joining{at: at}
+	passed := &passed{out: out, answerID: at.AnswerID, from: at.Offset}
 	for _, k := range e.route.Keepers(keyDigest) {
 		if ctx.Err() != nil {
 			break
 		}
 		var why *refusal.Refusal
 		if k.VM == e.settings.VM {
-			why = e.keep(ctx, g, joining{offset: offset, lost: lost}, out)
+			why = e.keep(ctx, g, j, passed.send)
 		} else {
-			why = e.keepAt(ctx, k.Address, g, joining{offset: offset, lost: lost}, out)
+			why = e.keepAt(ctx, k.Address, g, j, passed.send)
 		}
 		if why == nil {
 			e.delivered(ctx, k.Address, keyDigest)
 			return nil
 		}
 		last = why
-		if !nextKeeper(why) {
+		switch why.Reason {
+		case refusal.Leaving:
+		case refusal.KeeperLost:
+			j = passed.joining(k.Address)
+		default:
 			return why
 		}
-		offset, lost = 0, k.Address
 	}
 	if last == nil {
 		return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
@@ -80,11 +86,12 @@
 	stream, err := client.Keep(ctx, connect.NewRequest(&fleetv1.KeepRequest{
 		Partner:     g.Partner,
 		Rule:        g.Rule,
-		Request:     fromGeneration(g, j.offset),
+		Request:     fromGeneration(g, j.at),
 		Relay:       e.id,
 		Connection:  held.Number,
 		Forwarded:   j.forwarded,
 		LostAddress: j.lost,
+		Prefix:      j.prefix,
 	}))
 	if err != nil {
 		return keeperLost(address)
@@ -126,22 +133,18 @@
 	_, _ = client.Delivered(ctx, &fleetv1.DeliveredRequest{KeyDigest: keyDigest})
 }
 
-// nextKeeper tells whether another entry may keep the key.
-func nextKeeper(why *refusal.Refusal) bool {
-	return why.Reason == refusal.Leaving || why.Reason == refusal.HomeUnreachable
-}
-
 func keeperLost(address string) *refusal.Refusal {
-	return refusal.New(refusal.RanNo, refusal.HomeUnreachable, keeperLostRetry, "the entry at %s can't be reached", address)
+	return refusal.New(refusal.RanNo, refusal.KeeperLost, keeperLostRetry, "the entry at %s can't be reached", address)
 }
 
-func fromGeneration(g request.Generation, offset int) *callerv1.GenerateRequest {
+func fromGeneration(g request.Generation, at request.Position) *callerv1.GenerateRequest {
 	return &callerv1.GenerateRequest{
 		IdempotencyKey:  g.Key,
 		Model:           g.Model,
 		Prompt:          g.Prompt,
 		MaxOutputTokens: int32(g.MaxOutputTokens),
-		OffsetTokens:    int64(offset),
+		OffsetTokens:    int64(at.Offset),
+		AnswerId:        at.AnswerID,
 	}
 }
 
--- a/router/refusal/refusal.go
+++ b/router/refusal/refusal.go
@@ -66,6 +66,8 @@
 	KVLost Reason = 25
 	// WrongRole refuses an upstream that does not serve this role or model.
 	WrongRole Reason = 26
+	// KeeperLost refuses a request whose entry was lost on the way.
+	KeeperLost Reason = 27
 )
 
 type (
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"hash"
@@ -28,6 +29,7 @@
 		Arrived time.Time
 
 		mu         sync.Mutex
+		answerID   string
 		state      recordState
 		tokens     []string
 		text       hash.Hash
@@ -56,6 +58,7 @@
 
 func newRecord(g Generation, now time.Time, grace time.Duration) *Record {
 	return &Record{
+		answerID:      rand.Text(),
 		Generation:    g,
 		ContentDigest: g.ContentDigest(),
 		Arrived:       now,
@@ -73,10 +76,23 @@
 	r.cancel = cancel
 }
 
-// Join makes a connection the record's reader; an older one ends as superseded.
-func (r *Record) Join(offset int) (*Reader, *refusal.Refusal) {
+// Continue begins the record with the tokens that the caller has of an answer whose
+// keeper was lost.
+func (r *Record) Continue(answerID string, prefix []string) {
+	r.Append(prefix)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answerID = answerID
+}
+
+// Join makes a connection the record's reader; an older one ends as superseded. The
+// reader begins at its position, or at offset 0 of another answer.
+func (r *Record) Join(p Position) (*Reader, *refusal.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.AnswerID != "" && p.AnswerID != r.answerID {
+		p.Offset = 0
+	}
 	if r.delivered {
 		return nil, alreadyAnswered()
 	}
@@ -90,7 +106,7 @@
 		r.graceTimer.Stop()
 		r.graceTimer = nil
 	}
-	r.reader = &Reader{record: r, next: max(0, offset)}
+	r.reader = &Reader{record: r, next: max(0, p.Offset)}
 	r.wake()
 	return r.reader, nil
 }
@@ -233,7 +249,7 @@
 		return Piece{}, alreadyAnswered(), nil
 	}
 	if d.next < len(r.tokens) || r.completion != nil {
-		piece := Piece{Offset: d.next, Completion: r.completion}
+		piece := Piece{AnswerID: r.answerID, Offset: d.next, Completion: r.completion}
 		if d.next < len(r.tokens) {
 			piece.Tokens = r.tokens[d.next:len(r.tokens):len(r.tokens)]
 		}
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -28,11 +28,20 @@
 
 	// Piece is a run of consecutive tokens, the completion, or both.
 	Piece struct {
+		// AnswerID names the answer that the piece belongs to.
+		AnswerID   string
 		Offset     int
 		Tokens     []string
 		Completion *Completion
 	}
 
+	// Position is how much of an answer a connection has.
+	Position struct {
+		// AnswerID names the answer. Empty: whichever is kept.
+		AnswerID string
+		Offset   int
+	}
+
 	// Completion proves that an answer is whole.
 	Completion struct {
 		TokenCount   int
--- /dev/null
+++ b/scenario/stress_test.go
@@ -0,0 +1,161 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/scenario/fleet"
+	"gooseberrypin.example/standin/partner"
+)
+
+const (
+	stressSeed        = 7
+	stressRequests    = 2000
+	stressConcurrency = 1000
+	stressKills       = 12
+	killInterval      = 400 * time.Millisecond
+	downTime          = 300 * time.Millisecond
+	stressTimeout     = 90 * time.Second
+	freeTimeout       = 10 * time.Second
+)
+
+// TestStress sends a thousand requests at once while processes are killed and started
+// again at random, and then holds the counters against the promises.
+func TestStress(t *testing.T) {
+	is := is.New(t)
+	shared.seats <- struct{}{}
+	defer func() { <-shared.seats }()
+	f, err := fleet.New(fleet.Layout{Entries: 3, Prefill: 2, Decode: 3, Services: 3}, t.TempDir(), shared.binaries,
+		fleet.WithHost(shared.host()), fleet.WithEngineArguments("--step-ms", "4", "--step-per-stream-us", "100"))
+	is.NoErr(err)
+	defer f.Close()
+	is.NoErr(f.Start())
+	ctx, cancel := context.WithTimeout(t.Context(), stressTimeout)
+	defer cancel()
+
+	killed := make(chan error, 1)
+	go func() { killed <- killAtRandom(ctx, f, rand.New(rand.NewPCG(stressSeed, stressSeed))) }()
+	client := partner.New(fleet.Credential("varal"), callerAddresses(t, f), partner.WithTries(12))
+	report := client.Run(ctx, partner.Load{
+		Requests:        stressRequests,
+		Concurrency:     stressConcurrency,
+		Kind:            partner.KindMixed,
+		Models:          []string{fleet.Model},
+		Services:        []string{fleet.BookingService},
+		Path:            "/bookings",
+		MaxOutputTokens: 40,
+		Seed:            stressSeed,
+	})
+	is.NoErr(<-killed)
+	t.Logf("requests=%d answered=%d refused=%d cut=%d resends=%d duplicates=%d mismatches=%d reasons=%v first_token_ms=%+v",
+		report.Requests, report.Answered, report.Refused, report.Cut, report.Resends, report.Duplicates,
+		report.Mismatches, report.Reasons, report.FirstTokenMS)
+	is.Equal(report.Requests, stressRequests)
+	is.True(report.Answered > 0)
+	is.Equal(report.Duplicates, 0) // no request is answered twice
+	is.Equal(report.Mismatches, 0) // each answer is whole and the caller's own
+	checkRuns(t, f, report)
+	awaitFreeEngines(t, f)
+}
+
+// killAtRandom kills processes one after the other and starts each again.
+func killAtRandom(ctx context.Context, f *fleet.Fleet, random *rand.Rand) error {
+	names := f.Names()
+	ticker := time.NewTicker(killInterval)
+	defer ticker.Stop()
+	for range stressKills {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		name := names[1+random.IntN(len(names)-1)] // the first one is the platform
+		p, err := f.Process(name)
+		if err != nil {
+			return err
+		}
+		if err := p.Kill(); err != nil {
+			return err
+		}
+		<-time.After(downTime)
+		if err := f.StartOne(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkRuns holds what the services ran against what the callers were told.
+func checkRuns(t *testing.T, f *fleet.Fleet, report partner.Report) {
+	t.Helper()
+	is := is.New(t)
+	runs := make(map[string]int)
+	for _, name := range []string{"service1", "service2", "service3"} {
+		var counts map[string]int
+		page(t, f, name, "/runs", &counts)
+		for key, n := range counts {
+			runs[key] += n
+		}
+	}
+	t.Logf("keys run=%d did_not_run_keys=%d", len(runs), len(report.DidNotRunKeys))
+	for key, n := range runs {
+		if n > 1 {
+			t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+	for _, key := range report.DidNotRunKeys {
+		is.Equal(key+":"+string(rune('0'+runs[key])), key+":0") // refused as not run, so it did not run
+	}
+}
+
+// awaitFreeEngines waits until no engine holds memory for a request.
+func awaitFreeEngines(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	deadline := time.Now().Add(freeTimeout)
+	for _, name := range []string{"prefill1", "prefill2", "decode1", "decode2", "decode3"} {
+		for {
+			var streams []json.RawMessage
+			page(t, f, name, "/v1/streams", &streams)
+			if len(streams) == 0 {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s still holds %d streams", name, len(streams))
+			}
+			<-time.After(pollInterval)
+		}
+	}
+}
+
+func callerAddresses(t *testing.T, f *fleet.Fleet) []string {
+	t.Helper()
+	var addresses []string
+	for _, name := range []string{"entry1", "entry2", "entry3"} {
+		address, err := f.CallerAddress(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func page(t *testing.T, f *fleet.Fleet, upstream, path string, target any) {
+	t.Helper()
+	address, err := f.UpstreamAddress(upstream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := f.Page(address, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(content, target); err != nil {
+		t.Fatal(err)
+	}
+}
