Tell a late prefill from a lost sidecar

Cause: a prefill that missed its deadline marked its upstream unreachable for a second; under load all of a pool were marked and 933 tries of 600 requests were refused as NO_UPSTREAM. A late prefill is now refused as Deadline and marks nothing.

--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -94,6 +95,9 @@
 	defer stream.Close()
 	for {
 		e, err := stream.Next()
+		if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return port.KV{}, refusal.New(refusal.RanNo, refusal.Deadline, defaultRetryAfter, "no prefill in time at %s", target.Upstream)
+		}
 		if err != nil {
 			return port.KV{}, w.unreachable(target)
 		}
