--- a/scenario/answer/answer.go
+++ b/scenario/answer/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"strings"
 	"sync"
 )
@@ -30,18 +31,19 @@
 
 	// Answer is what a caller has of one request.
 	Answer struct {
-		State   State    `json:"state"`
-		Text    string   `json:"text"`
-		Tokens  int64    `json:"tokens"`
-		Reason  string   `json:"reason"`
-		Ran     string   `json:"ran"`
-		RetryMS int64    `json:"retry_after_ms"`
-		Message string   `json:"message"`
-		Status  int32    `json:"status"`
-		Body    string   `json:"body"`
-		Replay  bool     `json:"replayed"`
-		Tries   int      `json:"tries"`
-		Reasons []string `json:"reasons"`
+		State   State  `json:"state"`
+		Text    string `json:"text"`
+		Tokens  int64  `json:"tokens"`
+		Reason  string `json:"reason"`
+		Ran     string `json:"ran"`
+		RetryMS int64  `json:"retry_after_ms"`
+		Message string `json:"message"`
+		Status  int32  `json:"status"`
+		Body    string `json:"body"`
+		Replay  bool   `json:"replayed"`
+		Tries   int    `json:"tries"`
+		// Reasons counts the refusals of all tries.
+		Reasons map[string]int `json:"reasons"`
 	}
 
 	// Record holds an answer that is still growing.
@@ -54,14 +56,16 @@
 
 // NewRecord returns a record. Earlier is the text that the caller has from an earlier try.
 func NewRecord(earlier string) *Record {
-	return &Record{answer: Answer{State: Running}, earlier: earlier}
+	return &Record{answer: Answer{State: Running, Reasons: make(map[string]int)}, earlier: earlier}
 }
 
 // Answer returns a copy of what was received up to now.
 func (r *Record) Answer() Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.answer
+	a := r.answer
+	a.Reasons = maps.Clone(a.Reasons)
+	return a
 }
 
 func (r *Record) change(f func(*Answer)) {
--- a/scenario/answer/sender.go
+++ b/scenario/answer/sender.go
@@ -150,7 +150,7 @@
 			a.Reason = strings.ToLower(strings.TrimPrefix(refusal.GetReason().String(), reasonPrefix))
 			a.Ran = strings.ToLower(strings.TrimPrefix(refusal.GetRan().String(), ranPrefix))
 			a.RetryMS = refusal.GetRetryAfterMs()
-			a.Reasons = append(a.Reasons, a.Reason)
+			a.Reasons[a.Reason]++
 		case ctx.Err() != nil:
 			a.State = Cancelled
 		default:
--- a/scenario/cmd/demo/requests.go
+++ b/scenario/cmd/demo/requests.go
@@ -105,7 +105,7 @@
 	g := answer.Generation{
 		Key:       key,
 		Model:     fleet.Model,
-		Prompt:    "How is a cotton quilt from the seventies washed when the lining is loose? " + key,
+		Prompt:    fleet.Prompt("How is a cotton quilt washed when its lining is loose? "+key, tokens),
 		MaxTokens: tokens,
 	}
 	c.senders[entry].Generate(ctx, g, r)
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -23,10 +23,11 @@
 	return map[string]command{
 		"fleet":     cmdFleet,
 		"start":     cmdStart,
-		"stop":      eachProcess((*fleet.Process).Stop),
+		"ready":     cmdReady,
+		"shutdown":  eachProcess((*fleet.Process).Stop),
 		"terminate": eachProcess((*fleet.Process).Terminate),
 		"ended":     eachProcess(func(p *fleet.Process) error { return p.Wait(fleet.StopTimeout) }),
-		"kill":      eachProcess((*fleet.Process).Kill),
+		"crash":     eachProcess((*fleet.Process).Kill),
 		"freeze":    eachProcess((*fleet.Process).Freeze),
 		"thaw":      eachProcess((*fleet.Process).Thaw),
 		"cut":       eachPair((*fleet.Fleet).Cut),
@@ -107,6 +108,12 @@
 	}
 }
 
+// cmdReady waits until each process that runs has a configuration, as a balancer does.
+func cmdReady(ts *testscript.TestScript, neg bool, _ []string) {
+	plain(ts, "ready", neg)
+	ts.Check(stageOf(ts).fleet.AwaitReady())
+}
+
 // cmdPublish publishes a configuration: publish FILE, with $ADDR_NAME expanded.
 func cmdPublish(ts *testscript.TestScript, neg bool, args []string) {
 	plain(ts, "publish", neg)
--- a/scenario/expect_test.go
+++ b/scenario/expect_test.go
@@ -1,12 +1,18 @@
 package scenario
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+const (
+	// shownBytes bounds what a failed expectation shows of a document.
+	shownBytes = 2000
+)
+
 type (
 	// expectation is a parsed expect command.
 	expectation struct {
@@ -17,6 +23,8 @@
 		// lasts is set when the conditions must hold at each look for this long.
 		lasts time.Duration
 		have  []string
+		// last is what was looked at last.
+		last [][]byte
 	}
 )
 
@@ -35,13 +43,13 @@
 	}
 	if e.lasts > 0 {
 		if poll(e.lasts, func() bool { return !check() }) {
-			ts.Fatalf("did not last for %s: %s", e.lasts, describe(e.kind, e.name, e.conditions, e.have))
+			ts.Fatalf("did not last for %s: %s", e.lasts, e)
 		}
 		return
 	}
 	start := time.Now()
 	if !poll(e.within, check) {
-		ts.Fatalf("not within %s: %s", e.within, describe(e.kind, e.name, e.conditions, e.have))
+		ts.Fatalf("not within %s: %s", e.within, e)
 	}
 	ts.Logf("after %s", time.Since(start).Round(time.Millisecond))
 }
@@ -93,6 +101,7 @@
 // holds tells whether all conditions hold in all documents.
 func (e *expectation) holds(documents [][]byte) bool {
 	all := true
+	e.last = documents
 	e.have = make([]string, len(e.conditions))
 	for _, document := range documents {
 		for i, c := range e.conditions {
@@ -107,3 +116,16 @@
 	}
 	return all
 }
+
+// String tells what was expected and what was there.
+func (e *expectation) String() string {
+	var parts []string
+	for i, c := range e.conditions {
+		parts = append(parts, fmt.Sprintf("%s%s%s (is %q)", c.Path, c.Operator, c.Value, e.have[i]))
+	}
+	text := e.kind + " " + e.name + ": " + strings.Join(parts, ", ")
+	for _, document := range e.last {
+		text += "\n" + string(document[:min(len(document), shownBytes)])
+	}
+	return text
+}
--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -41,6 +41,7 @@
 		processes     map[string]*Process
 		order         []string
 		links         map[string]*Link
+		reserved      map[string][]net.Listener
 		platform      string
 		platformAdmin string
 
@@ -64,11 +65,13 @@
 		byName:    make(map[string]*node),
 		processes: make(map[string]*Process),
 		links:     make(map[string]*Link),
+		reserved:  make(map[string][]net.Listener),
 	}
 	for _, o := range options {
 		o(f)
 	}
 	if err := f.reserveAddresses(); err != nil {
+		f.Close()
 		return nil, err
 	}
 	f.configuration = baseConfiguration(f.nodes)
@@ -134,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	f.release(name)
 	if err := p.Start(); err != nil {
 		return err
 	}
@@ -168,6 +172,9 @@
 	for _, l := range f.links {
 		l.Close()
 	}
+	for name := range f.reserved {
+		f.release(name)
+	}
 }
 
 // Faults returns the data races and panics that the processes reported.
@@ -183,34 +190,34 @@
 
 func (f *Fleet) reserveAddresses() error {
 	var err error
-	reserve := func() string {
-		address, errReserve := reserveAddress(f.host)
-		if errReserve != nil {
-			err = errReserve
+	reserve := func(process string) string {
+		l, errListen := net.Listen("tcp", net.JoinHostPort(f.host, "0"))
+		if errListen != nil {
+			err = eris.Wrap(errListen, "reserve")
+			return ""
 		}
-		return address
+		f.reserved[process] = append(f.reserved[process], l)
+		return l.Addr().String()
 	}
-	f.platform, f.platformAdmin = reserve(), reserve()
+	f.platform, f.platformAdmin = reserve(PlatformName), reserve(PlatformName)
 	for _, n := range f.nodes {
 		f.byName[n.name] = n
-		n.fleet, n.operator = reserve(), reserve()
+		n.fleet, n.operator = reserve(n.process()), reserve(n.process())
 		if n.isEntry() {
-			n.caller = reserve()
+			n.caller = reserve(n.process())
 		} else {
-			n.address = reserve()
+			n.address = reserve(n.name)
 		}
 	}
 	return err
 }
 
-// reserveAddress asks the system for a free port.
-func reserveAddress(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", eris.Wrap(err, "reserve")
+// release frees the ports of a process, which are held until it starts.
+func (f *Fleet) release(process string) {
+	for _, l := range f.reserved[process] {
+		_ = l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	delete(f.reserved, process)
 }
 
 func (f *Fleet) addProcesses() error {
--- a/scenario/fleet/layout.go
+++ b/scenario/fleet/layout.go
@@ -49,6 +49,11 @@
 	return partner + "-credential-for-tests"
 }
 
+// Prompt returns a prompt whose answer has the given number of tokens at the stand-in engine.
+func Prompt(text string, tokens int32) string {
+	return fmt.Sprintf("%s [[out=%d]]", text, tokens)
+}
+
 // SidecarName returns the name of the process beside an upstream.
 func SidecarName(upstream string) string {
 	return upstream + "_sidecar"
--- a/scenario/requests_test.go
+++ b/scenario/requests_test.go
@@ -106,6 +106,7 @@
 	for _, o := range parseOptions(ts, args) {
 		r.set(ts, o)
 	}
+	r.generation.Prompt = fleet.Prompt(r.generation.Prompt, r.generation.MaxTokens)
 	return r
 }
 
@@ -116,7 +117,7 @@
 	case "prompt":
 		r.generation.Prompt = o.value
 	case "words":
-		r.generation.Prompt = strings.Repeat("word ", o.number(ts))
+		r.generation.Prompt += strings.Repeat(" word", o.number(ts))
 	case "model":
 		r.generation.Model = o.value
 	case "max":
--- a/scenario/stage_test.go
+++ b/scenario/stage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -204,11 +203,3 @@
 		}
 	}
 }
-
-func describe(kind, name string, conditions []Condition, have []string) string {
-	var parts []string
-	for i, c := range conditions {
-		parts = append(parts, fmt.Sprintf("%s%s%s (is %q)", c.Path, c.Operator, c.Value, have[i]))
-	}
-	return kind + " " + name + ": " + strings.Join(parts, ", ")
-}
