--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -43,6 +43,12 @@
 	if s.Kind != configuration.KindEngine && s.Kind != configuration.KindService {
 		f.Addf("kind: %q is neither %q nor %q", s.Kind, configuration.KindEngine, configuration.KindService)
 	}
+	known := []string{naiveLeases, naiveOrphans, naiveSuspects, naiveLeaving, naiveOrders, naiveBookings}
+	for _, n := range s.Naive {
+		if !slices.Contains(known, n) {
+			f.Addf("naive: %q is unknown", n)
+		}
+	}
 	return f.Err()
 }
 
