--- /dev/null
+++ b/router/adapter/service/service_test.go
@@ -0,0 +1,83 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/adapter/service"
+	"gooseberrypin.example/router/port"
+)
+
+func TestCallIsSentOnce(t *testing.T) {
+	cases := map[string]struct {
+		answer http.HandlerFunc
+		body   string
+		want   string
+		runs   int32
+	}{
+		"answered": {
+			answer: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") },
+			body:   "{}", want: "answered 200 done", runs: 2,
+		},
+		"dropped after the run": {
+			answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			body:   "{}", want: "lost", runs: 2,
+		},
+		"dropped without a body": {
+			answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			want:   "lost", runs: 2,
+		},
+		"redirected": {
+			answer: func(w http.ResponseWriter, r *http.Request) {
+				http.Redirect(w, r, "/other", http.StatusPermanentRedirect)
+			},
+			want: "answered 308 ", runs: 2,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				c.answer(w, r)
+			}))
+			defer server.Close()
+			client := service.NewClient()
+			for range 2 {
+				o := client.Call(context.Background(), server.Listener.Addr().String(),
+					port.ServiceCall{Path: "/run", Body: []byte(c.body), IdempotencyKey: "k"})
+				is.Equal(describe(o), c.want)
+			}
+			is.Equal(runs.Load(), c.runs)
+		})
+	}
+}
+
+func TestCallNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	o := service.NewClient().Call(context.Background(), l.Addr().String(), port.ServiceCall{Path: "/run"})
+	is.Equal(describe(o), "not sent")
+}
+
+func describe(o port.ServiceOutcome) string {
+	switch o := o.(type) {
+	case port.ServiceAnswered:
+		return fmt.Sprintf("answered %d %s", o.Status, o.Body)
+	case port.ServiceNotSent:
+		return "not sent"
+	case port.ServiceLost:
+		return "lost"
+	}
+	return ""
+}
--- a/sidecar/service/run.go
+++ b/sidecar/service/run.go
@@ -145,14 +145,10 @@
 }
 
 func (c *Sidecar) send(ctx context.Context, r *fleetv1.RunRequest) port.ServiceOutcome {
-	u := c.upstream()
-	if u == nil {
-		return port.ServiceNotSent{Err: errNotConfigured}
-	}
 	c.active.Add(1)
 	defer c.active.Add(-1)
 	c.metrics.Add("calls", 1)
-	return c.service.Call(ctx, u.Address, port.ServiceCall{
+	return c.service.Call(ctx, c.address, port.ServiceCall{
 		Path:           r.GetPath(),
 		Body:           r.GetBody(),
 		Partner:        r.GetPartner(),
--- a/sidecar/service/service.go
+++ b/sidecar/service/service.go
@@ -32,6 +32,7 @@
 	// Sidecar serves the Bookings protocol for one upstream.
 	Sidecar struct {
 		self     booking.Member
+		address  string
 		started  time.Time
 		pause    time.Duration
 		home     *booking.Home
@@ -54,6 +55,8 @@
 		Upstream string
 		// VM is the name of the VM in the platform's list.
 		VM string
+		// UpstreamAddress is the service's IP:port.
+		UpstreamAddress string
 		// Pause is the gap that counts as a pause of the process. Zero takes the default.
 		Pause time.Duration
 		// Naive runs every call that arrives. Only tests set it.
@@ -84,6 +87,7 @@
 func New(s Settings, store *configuration.Store, vms *vm.Table, fleet *http.Client, log event.Log, options ...Option) *Sidecar {
 	c := &Sidecar{
 		self:    booking.Member{Upstream: s.Upstream, VM: s.VM},
+		address: s.UpstreamAddress,
 		started: time.Now(),
 		pause:   s.Pause,
 		store:   store,
--- a/sidecar/service/settle.go
+++ b/sidecar/service/settle.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	fleetv1 "gooseberrypin.example/gen/fleet/v1"
 	adapter "gooseberrypin.example/router/adapter/booking"
 	"gooseberrypin.example/router/booking"
@@ -23,10 +21,6 @@
 	maxQuestions    = 16
 )
 
-var (
-	errNotConfigured = eris.New("service: the upstream is not in the configuration")
-)
-
 // Acknowledge implements fleetv1.Bookings. Records that moved to the sender go first.
 func (c *Sidecar) Acknowledge(ctx context.Context, r *fleetv1.AcknowledgeRequest) (*fleetv1.AcknowledgeResponse, error) {
 	c.sync()
