--- /dev/null
+++ b/router/bench/keeper.go
@@ -0,0 +1,323 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gooseberrypin.example/router/admission"
+	"gooseberrypin.example/router/decode"
+	"gooseberrypin.example/router/prefill"
+	"gooseberrypin.example/router/retry"
+	"gooseberrypin.example/router/share"
+)
+
+const (
+	retryFraction  = 0.2
+	retryBurst     = 40
+	waitingCheck   = 5 * time.Millisecond
+	spareFraction  = 0.9
+	initialOutput  = 256
+	outputWeight   = 0.02
+	hopsToPrefill  = 4 * hopDelay
+	hopsToToken    = 4 * hopDelay
+	deadlineAtEdge = firstTokenTarget - 2*(clientDelay+hopDelay)
+)
+
+type (
+	// keeper is an entry that keeps requests, with its decisions.
+	keeper struct {
+		world    *world
+		prefills *prefill.Chooser
+		decodes  *decode.Chooser
+		gate     *admission.Gate
+		arrivals *admission.Arrivals
+		limiter  *share.Limiter
+		budget   *retry.Budget
+		output   float64
+		waiting  []*attempt
+		checking bool
+		attempts int
+		name     string
+	}
+)
+
+func newKeeper(w *world, name string, random *rand.Rand) *keeper {
+	return &keeper{
+		world:    w,
+		name:     name,
+		prefills: prefill.NewChooser(random, prefill.WithStrategy(w.policy.prefill)),
+		decodes:  decode.NewChooser(random, decode.WithStrategy(w.policy.decode)),
+		gate:     admission.NewGate(random),
+		arrivals: admission.NewArrivals(),
+		limiter:  share.NewLimiter(random),
+		budget:   retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)),
+		output:   initialOutput,
+	}
+}
+
+// arrive takes a try of a request.
+func (k *keeper) arrive(r *request) {
+	if r.over {
+		return
+	}
+	if k.world.policy.naive {
+		k.arriveNaive(r)
+		return
+	}
+	if r.live() {
+		return
+	}
+	now := k.world.clock.now
+	first, again := k.arrivals.First(r.key, now)
+	predicted := int(k.output)
+	taken := k.limiter.Again
+	if !again {
+		taken = k.limiter.Take
+		k.budget.Try()
+	}
+	if taken(r.partner, 1, predicted, entries, now) != nil {
+		k.world.tally.shed("share")
+		k.world.clock.after(clientDelay+hopDelay, func() { k.world.refused(r) })
+		return
+	}
+	a := k.attempt(r)
+	a.deadline = first.Add(deadlineAtEdge)
+	if r.received > 0 {
+		a.deadline = now.Add(deadlineAtEdge)
+	}
+	if !k.admit(a) {
+		k.limiter.Refund(r.partner, predicted)
+		k.refuse(a, 0)
+		return
+	}
+	if k.world.policy.reserve == reserveAtArrival {
+		k.reserve(a)
+		return
+	}
+	k.world.clock.after(hopDelay, func() { a.source.push(a) })
+}
+
+func (k *keeper) arriveNaive(r *request) {
+	a := k.attempt(r)
+	a.choice, _ = k.prefills.Choose(a.prompt, k.world.prefillNames, k.world.clock.now)
+	a.source = k.world.prefills[a.choice.Upstream]
+	k.world.clock.after(hopDelay, func() { a.source.push(a) })
+}
+
+// attempt starts a try, with the tokens that the caller already has as part of the prompt.
+func (k *keeper) attempt(r *request) *attempt {
+	k.attempts++
+	a := &attempt{id: fmt.Sprintf("%s/%d", k.name, k.attempts), request: r, prompt: r.size.prompt}
+	if !k.world.policy.naive {
+		a.prompt.Tokens += r.received
+	}
+	r.attempts = append(slices.DeleteFunc(r.attempts, func(b *attempt) bool { return b.ended }), a)
+	return a
+}
+
+// admit chooses the prefill upstream of an attempt that is predicted to be in time, or
+// that is late but displaces nobody.
+func (k *keeper) admit(a *attempt) bool {
+	now := k.world.clock.now
+	wait := k.decodes.Wait(len(k.waiting)*entries, k.world.decodeNames, now)
+	forecast := admission.Forecast{
+		QueueDelay: wait,
+		Transfer:   transferTime(a.prompt.Tokens) + hopsToToken,
+		FirstStep:  firstStep,
+		Deadline:   a.deadline,
+	}
+	spare := k.spare(wait)
+	if !spare && k.gate.Admit(forecast, now) != nil {
+		k.world.tally.shed("decode")
+		return false
+	}
+	choice, found := k.prefills.Choose(a.prompt, k.world.prefillNames, now)
+	if !found {
+		return false
+	}
+	forecast.QueueDelay = max(wait, choice.Delay) + hopsToPrefill
+	forecast.Prefill = choice.Predicted - choice.Delay
+	if k.gate.Admit(forecast, now) != nil {
+		if !spare {
+			k.prefills.Withdraw(a.prompt, choice)
+			k.world.tally.shed("prefill")
+			return false
+		}
+		a.late = true
+		a.deadline = now.Add(forecast.Total() + deadlineAtEdge)
+	}
+	a.choice = choice
+	a.source = k.world.prefills[choice.Upstream]
+	return true
+}
+
+// spare tells whether late work displaces nobody.
+func (k *keeper) spare(wait time.Duration) bool {
+	running, limit := k.decodes.Load(k.world.decodeNames)
+	return wait == 0 && len(k.waiting) == 0 && float64(running) <= spareFraction*float64(limit)
+}
+
+// reserve asks the roomiest decode server for memory.
+func (k *keeper) reserve(a *attempt) {
+	if a.ended {
+		return
+	}
+	if k.tooLate(a) {
+		k.world.tally.shed("reserve")
+		k.refuse(a, 0)
+		return
+	}
+	pieces := (a.prompt.Tokens + pieceTokens) / pieceTokens
+	name, found := k.decodes.Choose(pieces, k.world.decodeNames, a.avoid, k.world.clock.now)
+	if !found {
+		k.waiting = append(k.waiting, a)
+		k.check()
+		return
+	}
+	s := k.world.decodes[name]
+	k.world.clock.after(hopDelay, func() {
+		if a.ended {
+			return
+		}
+		refused := s.reserve(a)
+		hint := s.hint()
+		k.world.clock.after(hopDelay, func() {
+			k.decodes.Observe(hint)
+			switch {
+			case a.ended:
+			case refused != nil:
+				k.reserve(a)
+			default:
+				k.reservedAt(a)
+			}
+		})
+	})
+}
+
+// tooLate tells whether an attempt that waits for memory can't make it any more.
+func (k *keeper) tooLate(a *attempt) bool {
+	now := k.world.clock.now
+	left := afterPrefill(a.prompt.Tokens)
+	if !a.kvExpires.IsZero() {
+		return now.Add(transferTime(a.prompt.Tokens)).After(a.kvExpires)
+	}
+	if k.world.policy.naive {
+		return false
+	}
+	return now.Add(left + time.Duration(a.uncached())*prefillTokenCost).After(a.deadline)
+}
+
+func (k *keeper) reservedAt(a *attempt) {
+	a.reserved = k.world.clock.now
+	switch {
+	case !a.kvExpires.IsZero():
+		k.world.clock.after(hopDelay, func() { a.source.move(a) })
+	case k.world.policy.reserve == reserveAtArrival:
+		k.world.clock.after(hopDelay, func() { a.source.push(a) })
+	default:
+		k.world.clock.after(hopDelay, func() { a.source.start(a) })
+	}
+}
+
+// check retries waiting attempts after a short time.
+func (k *keeper) check() {
+	if k.checking || len(k.waiting) == 0 {
+		return
+	}
+	k.checking = true
+	k.world.clock.after(waitingCheck, func() {
+		k.checking = false
+		k.retryWaiting()
+	})
+}
+
+// retryWaiting asks again for the attempts that wait, the most urgent first.
+func (k *keeper) retryWaiting() {
+	waiting := k.waiting
+	k.waiting = nil
+	slices.SortStableFunc(waiting, func(a, b *attempt) int {
+		if a.late != b.late {
+			if b.late {
+				return -1
+			}
+			return 1
+		}
+		return a.deadline.Compare(b.deadline)
+	})
+	for _, a := range waiting {
+		k.reserve(a)
+	}
+	k.check()
+}
+
+// prefilled goes on to the transfer.
+func (k *keeper) prefilled(a *attempt) {
+	if a.ended {
+		return
+	}
+	if a.dest == nil {
+		k.reserve(a)
+		return
+	}
+	k.world.clock.after(hopDelay, func() { a.source.move(a) })
+}
+
+// finished counts a stream that ended.
+func (k *keeper) finished(a *attempt) {
+	a.ended = true
+	k.output += outputWeight * (float64(a.request.size.output) - k.output)
+	k.decodes.Ended(k.world.clock.now.Sub(a.reserved))
+	k.freed(a)
+}
+
+func (k *keeper) freed(a *attempt) {
+	pieces := (a.prompt.Tokens + a.generated + pieceTokens) / pieceTokens
+	k.decodes.Release(a.dest.name, pieces, k.world.clock.now)
+	k.retryWaiting()
+}
+
+// refuse ends an attempt and answers the caller at once.
+func (k *keeper) refuse(a *attempt, delay time.Duration) {
+	if a.ended {
+		return
+	}
+	k.end(a)
+	k.world.clock.after(delay+clientDelay+hopDelay, func() { k.world.refused(a.request) })
+}
+
+// end gives up an attempt and all that it holds.
+func (k *keeper) end(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	k.waiting = without(k.waiting, a)
+	if a.source == nil {
+		return
+	}
+	k.world.clock.after(hopDelay, func() {
+		a.source.drop(a)
+		if a.dest != nil {
+			a.dest.drop(a)
+			k.freed(a)
+		}
+		k.world.settle(a)
+	})
+}
+
+// observePrefill takes the load that rides on an answer.
+func (k *keeper) observePrefill(h prefill.Hint) {
+	k.world.clock.after(hopDelay, func() { k.prefills.Observe(h) })
+}
+
+// observeDecode takes a report, and what it tells about the whole pool.
+func (k *keeper) observeDecode(h decode.Hint) {
+	k.decodes.Observe(h)
+	running, limit := k.decodes.Load(k.world.decodeNames)
+	if limit > 0 {
+		k.limiter.SetPressure(float64(running) / float64(limit))
+		k.limiter.SetRate(float64(limit) / betweenTokensTarget.Seconds())
+	}
+}
--- a/router/decode/pace.go
+++ b/router/decode/pace.go
@@ -13,6 +13,8 @@
 	minPaceSamples = 4
 	// paceTolerance absorbs rounding when the target is met exactly.
 	paceTolerance = 1e-6
+	// stallFactor times the target is a stall, which tells nothing about the pace.
+	stallFactor = 4
 )
 
 type (
@@ -56,7 +58,7 @@
 
 // Observe takes a report of one step of a batch.
 func (p *Pace) Observe(batch int, step time.Duration) {
-	if batch <= 0 || step <= 0 {
+	if batch <= 0 || step <= 0 || step > stallFactor*p.target {
 		return
 	}
 	p.mu.Lock()
--- a/router/prefill/chooser.go
+++ b/router/prefill/chooser.go
@@ -27,8 +27,9 @@
 	// Choice is the upstream chosen for a prompt.
 	Choice struct {
 		Upstream string
-		// Predicted is the time until the prefill ends.
+		// Predicted is the time until the prefill ends, Delay until it starts.
 		Predicted    time.Duration
+		Delay        time.Duration
 		CachedTokens int
 	}
 
@@ -180,6 +181,7 @@
 	return Choice{
 		Upstream:     name,
 		Predicted:    delay + time.Duration(p.Tokens-cached)*c.tokenCost,
+		Delay:        delay,
 		CachedTokens: cached,
 	}
 }
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -1,7 +1,9 @@
 package prefill
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,6 +146,7 @@
 			expired = append(expired, it)
 		}
 	}
+	slices.SortFunc(expired, func(a, b Item) int { return cmp.Compare(a.Attempt, b.Attempt) })
 	for _, it := range expired {
 		q.drop(it)
 	}
--- a/router/transfer/link.go
+++ b/router/transfer/link.go
@@ -2,6 +2,8 @@
 package transfer
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -107,6 +109,7 @@
 			delete(l.waiting, attempt)
 		}
 	}
+	slices.SortFunc(expired, byAttempt)
 	return expired
 }
 
@@ -131,6 +134,7 @@
 			stalled = append(stalled, a.transfer)
 		}
 	}
+	slices.SortFunc(stalled, byAttempt)
 	return stalled
 }
 
@@ -187,3 +191,7 @@
 	}
 	return x.Before(y)
 }
+
+func byAttempt(a, b Transfer) int {
+	return cmp.Compare(a.Attempt, b.Attempt)
+}
