Count pending attempts, share last, and index only cached prefixes

A withdrawn choice left its blocks in the prefix index, so refused requests looked cached and their prefill was predicted 10 to 50 times too short. Admitted attempts without memory were not counted, so late work rushed in. Shares were taken before the deadline was checked, so late resends used up the shares of fresh ones. The greedy partner's others still fall short.

--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -37,6 +37,8 @@
 		budget   *retry.Budget
 		output   float64
 		waiting  []*attempt
+		// pending are the admitted attempts that have no decode memory yet.
+		pending  int
 		checking bool
 		attempts int
 		name     string
@@ -71,27 +73,19 @@
 	}
 	now := k.world.clock.now
 	first, again := k.arrivals.First(r.key, now)
-	predicted := int(k.output)
-	taken := k.limiter.Again
 	if !again {
-		taken = k.limiter.Take
 		k.budget.Try()
 	}
-	if taken(r.partner, 1, predicted, entries, now) != nil {
-		k.world.tally.shed("share")
-		k.world.clock.after(clientDelay+hopDelay, func() { k.world.refused(r) })
-		return
-	}
 	a := k.attempt(r)
 	a.deadline = first.Add(deadlineAtEdge)
 	if r.received > 0 {
 		a.deadline = now.Add(deadlineAtEdge)
 	}
-	if !k.admit(a) {
-		k.limiter.Refund(r.partner, predicted)
+	if !k.admit(a) || !k.shared(a, again) {
 		k.refuse(a, 0)
 		return
 	}
+	k.begin(a)
 	if k.world.policy.reserve == reserveAtArrival {
 		k.reserve(a)
 		return
@@ -99,6 +93,22 @@
 	k.world.clock.after(hopDelay, func() { a.source.push(a) })
 }
 
+// shared takes an attempt from its partner's share.
+func (k *keeper) shared(a *attempt, again bool) bool {
+	running, limit := k.decodes.Load(k.world.decodeNames)
+	k.limiter.SetPressure(float64(running+k.pending*entries) / float64(max(1, limit)))
+	taken := k.limiter.Take
+	if again {
+		taken = k.limiter.Again
+	}
+	if taken(a.request.partner, 1, int(k.output), entries, k.world.clock.now) == nil {
+		return true
+	}
+	k.world.tally.shed("share")
+	k.prefills.Withdraw(a.prompt, a.choice)
+	return false
+}
+
 func (k *keeper) arriveNaive(r *request) {
 	a := k.attempt(r)
 	a.choice, _ = k.prefills.Choose(a.prompt, k.world.prefillNames, k.world.clock.now)
@@ -121,7 +131,7 @@
 // that is late but displaces nobody.
 func (k *keeper) admit(a *attempt) bool {
 	now := k.world.clock.now
-	wait := k.decodes.Wait(len(k.waiting)*entries, k.world.decodeNames, now)
+	wait := k.decodes.Wait(k.pending*entries, k.world.decodeNames, now)
 	forecast := admission.Forecast{
 		QueueDelay: wait,
 		Transfer:   transferTime(a.prompt.Tokens) + hopsToToken,
@@ -156,7 +166,7 @@
 // spare tells whether late work displaces nobody.
 func (k *keeper) spare(wait time.Duration) bool {
 	running, limit := k.decodes.Load(k.world.decodeNames)
-	return wait == 0 && len(k.waiting) == 0 && float64(running) <= spareFraction*float64(limit)
+	return wait == 0 && float64(running+k.pending*entries) <= spareFraction*float64(limit)
 }
 
 // reserve asks the roomiest decode server for memory.
@@ -209,7 +219,21 @@
 	return now.Add(left + time.Duration(a.uncached())*prefillTokenCost).After(a.deadline)
 }
 
+// begin counts an admitted attempt until it has decode memory or ends.
+func (k *keeper) begin(a *attempt) {
+	a.pending = true
+	k.pending++
+}
+
+func (k *keeper) settled(a *attempt) {
+	if a.pending {
+		a.pending = false
+		k.pending--
+	}
+}
+
 func (k *keeper) reservedAt(a *attempt) {
+	k.settled(a)
 	a.reserved = k.world.clock.now
 	switch {
 	case !a.kvExpires.IsZero():
@@ -254,6 +278,7 @@
 
 // prefilled goes on to the transfer.
 func (k *keeper) prefilled(a *attempt) {
+	k.prefills.ObserveCache(a.source.name, a.prompt.Blocks)
 	if a.ended {
 		return
 	}
@@ -293,6 +318,7 @@
 		return
 	}
 	a.ended = true
+	k.settled(a)
 	k.waiting = without(k.waiting, a)
 	if a.source == nil {
 		return
@@ -315,9 +341,7 @@
 // observeDecode takes a report, and what it tells about the whole pool.
 func (k *keeper) observeDecode(h decode.Hint) {
 	k.decodes.Observe(h)
-	running, limit := k.decodes.Load(k.world.decodeNames)
-	if limit > 0 {
-		k.limiter.SetPressure(float64(running) / float64(limit))
+	if _, limit := k.decodes.Load(k.world.decodeNames); limit > 0 {
 		k.limiter.SetRate(float64(limit) / betweenTokensTarget.Seconds())
 	}
 }
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -58,6 +58,7 @@
 		k.refuse(next, 0)
 		return
 	}
+	k.begin(next)
 	if k.world.policy.reserve == reserveAtArrival {
 		k.reserve(next)
 		return
--- a/router/bench/request.go
+++ b/router/bench/request.go
@@ -54,6 +54,7 @@
 		delivered bool
 		generated int
 		ended     bool
+		pending   bool
 	}
 )
 
--- a/router/prefill/chooser.go
+++ b/router/prefill/chooser.go
@@ -112,7 +112,8 @@
 	u.replay()
 }
 
-// ObserveCache takes a report that an upstream has cached blocks.
+// ObserveCache takes a report that an upstream has cached blocks, after a prefill or
+// from a cache event. A choice alone caches nothing, as it may be withdrawn.
 func (c *Chooser) ObserveCache(name string, blocks []uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,7 +195,6 @@
 	made := choice{at: now, cost: time.Duration(p.Tokens-taken.CachedTokens) * c.tokenCost}
 	u.recent = append(u.recent, made)
 	u.work(made)
-	u.cached.add(p.Blocks)
 }
 
 func (c *Chooser) upstream(name string) *upstream {
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	defaultBurst     = 250 * time.Millisecond
-	defaultThreshold = 0.9
+	defaultBurst     = 2 * time.Second
+	defaultThreshold = 0.95
 	demandWindow     = 2 * time.Second
 	levelInterval    = 250 * time.Millisecond
 	idleAfter        = 10 * time.Second
