Hold each claim at two homes, and settle before an answer ends

A completion could also be handed to a second connection before the first one's delivery was known. Claims are now held at two homes of which the first decides; an answer ends only when a home agrees and none objects; a completion goes to another connection only when the first one did not get it; a replaced attempt asks for the claim again instead of failing. Ruled out: one home that fails closed (an answer is lost with each lost sidecar).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/adapter/sidecar"
+	"gooseberrypin.example/router/claim"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/generation"
@@ -62,6 +63,7 @@
 		sidecars port.Sidecars
 		route    *route.Router
 		runner   generation.Runner
+		claims   *claim.Holder
 		book     *request.Book
 		holdings *lease.Holdings
 		relays   *relays
@@ -155,6 +157,7 @@
 	self := route.Self{Name: s.Name, VM: s.VM, Region: s.Region, DataCentre: s.DataCentre, Address: fleetAddress}
 	e.route = route.NewRouter(self, e.store, e.vms, e.random)
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
+	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
 	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction),
 		generation.WithFirstToken(e.firstToken))
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -9,7 +9,6 @@
 	fleetv1 "gooseberrypin.example/gen/fleet/v1"
 	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/claim"
-	"gooseberrypin.example/router/generation"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/request"
@@ -17,7 +16,6 @@
 
 const (
 	claimRounds   = 3
-	settleTimeout = time.Second
 	drainingRetry = 100 * time.Millisecond
 	noHomeRetry   = 500 * time.Millisecond
 )
@@ -90,6 +88,7 @@
 			return why
 		}
 		if err := out(p); err != nil {
+			reader.Return()
 			return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
 		}
 		if p.Completion != nil {
@@ -126,52 +125,18 @@
 	return nil
 }
 
-// claimAndRun claims the key at its home, or joins the entry that has it.
+// claimAndRun claims the key at its homes, or joins the entry that has it.
 func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, j joining) *refusal.Refusal {
-	unreachable := ""
+	w := &keeping{entry: e, record: r, joining: j}
 	for range claimRounds {
-		outcome, home := e.claim(ctx, r, unreachable)
-		switch o := outcome.(type) {
-		case nil:
-			return refusal.New(refusal.RanNo, refusal.HomeUnreachable, noHomeRetry, "no home of the key can be reached")
-		case claim.Refused:
-			return o.Refusal
-		case claim.Granted:
-			e.run(ctx, r, port.Attempt{KeyDigest: r.Generation.KeyDigest(), Number: o.Number}, home)
-			return nil
-		case claim.Held:
-			if o.KeeperAddress != j.lost {
-				if why := e.join(ctx, r, o, j); why == nil || why.Reason != refusal.KeeperLost {
-					return why
-				}
-			}
-			unreachable = o.Keeper
+		why, again := w.round(ctx)
+		if !again {
+			return why
 		}
 	}
 	return refusal.New(refusal.RanNo, refusal.HomeUnsettled, noHomeRetry, "the key's keeper changes")
 }
 
-// claim asks the key's homes in turn and returns the answer with the home's address.
-func (e *Entry) claim(ctx context.Context, r *request.Record, unreachable string) (claim.Outcome, string) {
-	g := &r.Generation
-	if e.naive["claim"] {
-		return claim.Granted{Number: uint64(time.Now().UnixMilli())}, ""
-	}
-	for _, home := range e.route.ClaimHomes(g.Model, g.KeyDigest()) {
-		outcome, err := e.sidecars.Claim(ctx, home.SidecarAddress, claim.Request{
-			KeyDigest:     g.KeyDigest(),
-			ContentDigest: r.ContentDigest,
-			Keeper:        e.id,
-			KeeperAddress: e.address,
-			Unreachable:   unreachable,
-		})
-		if err == nil {
-			return outcome, home.SidecarAddress
-		}
-	}
-	return nil, ""
-}
-
 // join copies the answer that another entry keeps into this entry's record.
 func (e *Entry) join(ctx context.Context, r *request.Record, held claim.Held, j joining) *refusal.Refusal {
 	if j.forwarded {
@@ -179,6 +144,7 @@
 	}
 	r.ForwardTo(held.KeeperAddress)
 	return e.keepAt(ctx, held.KeeperAddress, r.Generation, joining{forwarded: true}, func(p request.Piece) error {
+		r.Restart(p.AnswerID)
 		r.Append(p.Tokens)
 		if p.Completion != nil {
 			r.Finish(p.Completion.FinishReason)
@@ -187,24 +153,6 @@
 	})
 }
 
-// run generates the answer and frees the claim if there is none.
-func (e *Entry) run(ctx context.Context, r *request.Record, a port.Attempt, home string) {
-	e.runner.Run(ctx, r, generation.Job{
-		Generation:  r.Generation,
-		Fingerprint: r.Generation.Fingerprint(),
-		Attempt:     a,
-		Keeper:      e.id,
-		Home:        home,
-		Suspect:     e.crashes.suspected(r.Generation.Fingerprint(), time.Now()),
-	})
-	if r.Whole() || home == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	_, _ = e.sidecars.Settle(ctx, home, a, e.id, false)
-}
-
 // deliver notes that a caller has the whole answer.
 func (e *Entry) deliver(keyDigest string) bool {
 	r := e.book.Find(keyDigest)
--- a/router/adapter/sidecar/sidecar.go
+++ b/router/adapter/sidecar/sidecar.go
@@ -104,7 +104,7 @@
 	return eris.Wrapf(err, "release at %s", address)
 }
 
-// Claim implements port.Sidecars.
+// Claim implements claim.Homes.
 func (c *client) Claim(ctx context.Context, address string, q claim.Request) (claim.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -129,12 +129,12 @@
 	return nil, eris.Errorf("claim at %s: no outcome", address)
 }
 
-// Settle implements port.Sidecars.
-func (c *client) Settle(ctx context.Context, address string, a port.Attempt, keeper string, answered bool) (bool, error) {
+// Settle implements claim.Homes.
+func (c *client) Settle(ctx context.Context, address, keyDigest string, number uint64, keeper string, answered bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	m, err := c.peer(address).claims.Settle(ctx, &fleetv1.SettleRequest{
-		Attempt:  wire.FromAttempt(a),
+		Attempt:  &fleetv1.Attempt{KeyDigest: keyDigest, Number: number},
 		Keeper:   keeper,
 		Answered: answered,
 	})
--- a/router/claim/claim.go
+++ b/router/claim/claim.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// Homes is the number of upstreams that may hold a key's claim: the second one
-	// takes over while the first can't be reached.
-	Homes = 2
+	// HomeCount is the number of upstreams that may hold a key's claim: the second one
+	// keeps what a restart of the first one forgets.
+	HomeCount = 2
 
 	shardCount        = 16
 	defaultCapacity   = 65_536
@@ -36,7 +36,7 @@
 		Unreachable string
 	}
 
-	// Outcome is Granted, Held or Refused.
+	// Outcome is Granted, Claimed, Held or Refused.
 	//
 	//sumtype:decl
 	Outcome interface{ outcome() }
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -18,7 +18,6 @@
 	defaultMaxOutput    = 1024
 	defaultRetryAfter   = 250 * time.Millisecond
 	releaseTimeout      = time.Second
-	settleTimeout       = time.Second
 	prefillTargets      = 3
 	reservationAttempts = 3
 	prefillSlack        = 500 * time.Millisecond
@@ -38,8 +37,6 @@
 		Attempt     port.Attempt
 		// Keeper identifies the entry's process for its leases.
 		Keeper string
-		// Home is the address of the sidecar that holds the key's claim.
-		Home string
 		// Suspect work ran on an upstream that died: it runs where few others do.
 		Suspect bool
 	}
@@ -79,10 +76,22 @@
 		Allow() bool
 	}
 
+	// Outcome is Whole or Refused.
+	//
+	//sumtype:decl
+	Outcome interface{ outcome() }
+
+	// Whole tells that the record has all tokens of the answer.
+	Whole struct{ FinishReason string }
+
+	// Refused tells why there is no whole answer.
+	Refused struct{ Refusal *refusal.Refusal }
+
 	// Runner runs requests.
 	Runner interface {
-		// Run fills the record until its answer is whole or refused. It ends early with ctx.
-		Run(ctx context.Context, r *request.Record, j Job)
+		// Run appends tokens to the record until the answer is whole or refused. It ends
+		// early with ctx.
+		Run(ctx context.Context, r *request.Record, j Job) Outcome
 	}
 
 	// Option changes a runner's bounds.
@@ -102,11 +111,15 @@
 
 	// result is how one try ended.
 	result struct {
-		why       *refusal.Refusal
-		retryable bool
+		finishReason string
+		why          *refusal.Refusal
+		retryable    bool
 	}
 )
 
+func (Whole) outcome()   {}
+func (Refused) outcome() {}
+
 // NewRunner returns a runner.
 func NewRunner(s port.Sidecars, route Route, h Holdings, c Crashes, b Retries, options ...Option) Runner {
 	r := &runner{
@@ -137,29 +150,26 @@
 }
 
 // Run implements Runner.
-func (r *runner) Run(ctx context.Context, record *request.Record, j Job) {
+func (r *runner) Run(ctx context.Context, record *request.Record, j Job) Outcome {
 	r.retries.Try()
 	for try := 1; ; try++ {
 		w := &work{runner: r, record: record, job: j, deadline: r.deadline(record, try)}
 		res := w.run(ctx)
 		if res.why == nil {
 			r.crashes.Passed(j.Fingerprint)
-			return
+			return Whole{FinishReason: res.finishReason}
 		}
 		if ctx.Err() != nil {
-			record.Fail(refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone"))
-			return
+			return Refused{refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")}
 		}
 		if w.crashedAt != "" {
 			j.Suspect = true
 			if why := r.crashes.Crashed(ctx, w.crashedAt, j.Fingerprint); why != nil {
-				record.Fail(why)
-				return
+				return Refused{why}
 			}
 		}
 		if !res.retryable || try >= r.maxTries || !r.retries.Allow() {
-			record.Fail(res.why)
-			return
+			return Refused{res.why}
 		}
 	}
 }
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -210,8 +210,7 @@
 		case port.Tokens:
 			w.record.Append(e.Texts)
 		case port.Finished:
-			w.finish(e.Reason)
-			return result{}
+			return result{finishReason: e.Reason}
 		case port.Refused:
 			w.noteCrash(*w.decode, e.Refusal)
 			return result{why: e.Refusal, retryable: retryable(e.Refusal)}
@@ -219,19 +218,6 @@
 	}
 }
 
-// finish settles the claim before the completion is handed on: only the entry that
-// still holds the claim ends an answer. A home that can't be asked does not hold it back.
-func (w *work) finish(reason string) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	settled, err := w.runner.sidecars.Settle(ctx, w.job.Home, w.job.Attempt, w.job.Keeper, true)
-	if err == nil && !settled {
-		w.record.Fail(refusal.New(refusal.RanYes, refusal.Superseded, 0, "another entry keeps this key now"))
-		return
-	}
-	w.record.Finish(reason)
-}
-
 // release gives up a reservation that no decode used.
 func (w *work) release() {
 	if w.decode != nil {
--- a/router/port/sidecar.go
+++ b/router/port/sidecar.go
@@ -116,13 +116,12 @@
 	// Sidecars reaches the sidecars of engines. An error means that the sidecar could
 	// not be asked or its answer was lost.
 	Sidecars interface {
+		claim.Homes
 		Prefill(ctx context.Context, address string, p Prefill) (PrefillStream, error)
 		StartPrefill(ctx context.Context, address string, a Attempt) (*refusal.Refusal, error)
 		Reserve(ctx context.Context, address string, r Reservation) (Load, *refusal.Refusal, error)
 		Release(ctx context.Context, address string, a Attempt) error
 		Decode(ctx context.Context, address string, d Decode) (DecodeStream, error)
-		Claim(ctx context.Context, address string, q claim.Request) (claim.Outcome, error)
-		Settle(ctx context.Context, address string, a Attempt, keeper string, answered bool) (bool, error)
 	}
 )
 
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -16,6 +16,9 @@
 	running recordState = iota + 1
 	finished
 	failed
+
+	// handedWait bounds the wait for the fate of a completion that was handed on.
+	handedWait = time.Second
 )
 
 type (
@@ -37,6 +40,9 @@
 		refusal    *refusal.Refusal
 		reader     *Reader
 		delivered  bool
+		// handed is the connection that was given the completion; until it is known
+		// whether its caller has it, no other connection gets it.
+		handed     *Reader
 		changed    chan struct{}
 		cancel     context.CancelFunc
 		grace      time.Duration
@@ -164,6 +170,22 @@
 	}
 	r.delivered = true
 	r.tokens = nil
+	r.wake()
+}
+
+// Restart drops the answer so far in favour of another one.
+func (r *Record) Restart(answerID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != running || r.answerID == answerID {
+		return
+	}
+	r.answerID = answerID
+	r.tokens = nil
+	r.text.Reset()
+	if r.reader != nil {
+		r.reader.next = 0
+	}
 }
 
 // Tokens returns the answer so far.
@@ -209,6 +231,11 @@
 	}
 }
 
+// Return tells that the caller did not get the completion.
+func (d *Reader) Return() {
+	d.record.takeBack(d)
+}
+
 // Leave ends the connection. A record that nobody reads is cancelled after the grace
 // in which the caller may come back.
 func (d *Reader) Leave() {
@@ -248,7 +275,14 @@
 	if r.delivered {
 		return Piece{}, alreadyAnswered(), nil
 	}
+	if r.handed != nil && r.handed != d {
+		return Piece{}, nil, r.changed
+	}
 	if d.next < len(r.tokens) || r.completion != nil {
+		if r.completion != nil {
+			r.handed = d
+			time.AfterFunc(handedWait, func() { r.takeBack(d) })
+		}
 		piece := Piece{AnswerID: r.answerID, Offset: d.next, Completion: r.completion}
 		if d.next < len(r.tokens) {
 			piece.Tokens = r.tokens[d.next:len(r.tokens):len(r.tokens)]
@@ -259,6 +293,16 @@
 	return Piece{}, nil, r.changed
 }
 
+// takeBack lets another connection have the completion.
+func (r *Record) takeBack(d *Reader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handed == d && !r.delivered {
+		r.handed = nil
+		r.wake()
+	}
+}
+
 func (r *Record) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/router/route/keeper.go
+++ b/router/route/keeper.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 	var homes []*configuration.Upstream
-	for _, name := range rendezvous.Rank(keyDigest, staying(index, rule.DecodePool), claim.Homes) {
+	for _, name := range rendezvous.Rank(keyDigest, staying(index, rule.DecodePool), claim.HomeCount) {
 		homes = append(homes, index.Upstream(name))
 	}
 	return homes
