Ask seeds at the start, and count an answer as delivered once it was sent

Cause: (1) a process restarted while the platform is down knew no peer to ask; settings now name a few seeds. (2) a caller closes its connection as soon as it has the completion, and the entry then did not tell the keeper of the delivery: a drain waited 30 s for callers that had their answers.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -118,11 +118,9 @@
 	return keeperLost(address)
 }
 
-// delivered tells the keeper that the caller has the whole answer.
+// delivered tells the keeper that the caller has the whole answer. A caller may close
+// the connection as soon as it has the completion.
 func (e *Entry) delivered(ctx context.Context, address, keyDigest string) {
-	if ctx.Err() != nil {
-		return
-	}
 	if address == e.address {
 		e.deliver(keyDigest)
 		return
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -33,6 +33,9 @@
 		OperatorAddress string `json:"operator_address"`
 		// PlatformAddress is the configuration service, as IP:port.
 		PlatformAddress string `json:"platform_address"`
+		// SeedAddresses are fleet addresses of a few other processes, asked at the start
+		// when the platform can't be.
+		SeedAddresses []string `json:"seed_addresses,omitempty"`
 		// FleetKeys are one or two keys; the first is sent, each is accepted.
 		FleetKeys []string `json:"fleet_keys"`
 		// DialOverrides maps a published address to the one that is dialled.
@@ -78,6 +81,9 @@
 	f.Address("fleet_address", p.FleetAddress)
 	f.Address("operator_address", p.OperatorAddress)
 	f.Address("platform_address", p.PlatformAddress)
+	for i, address := range p.SeedAddresses {
+		f.Address(fmt.Sprintf("seed_addresses[%d]", i), address)
+	}
 	for from, to := range p.DialOverrides {
 		f.Address("dial_overrides", from)
 		f.Address("dial_overrides."+from, to)
--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -6,6 +6,10 @@
 	"gooseberrypin.example/router/settings"
 )
 
+const (
+	seedCount = 3
+)
+
 type (
 	// processSettings are the settings of an entry or a sidecar as it reads them.
 	processSettings struct {
@@ -28,6 +32,7 @@
 			FleetAddress:    n.fleet,
 			OperatorAddress: n.operator,
 			PlatformAddress: f.platform,
+			SeedAddresses:   f.seeds(n),
 			FleetKeys:       []string{fleetKey},
 			Seed:            1,
 		},
@@ -43,6 +48,17 @@
 	return s, nil
 }
 
+// seeds returns the fleet addresses of a few other VMs.
+func (f *Fleet) seeds(n *node) []string {
+	var addresses []string
+	for _, other := range f.nodes {
+		if other != n && len(addresses) < seedCount {
+			addresses = append(addresses, other.fleet)
+		}
+	}
+	return addresses
+}
+
 // naiveOf returns the mechanisms that one process is to switch off. They are named
 // entry.MECHANISM or sidecar.MECHANISM.
 func (f *Fleet) naiveOf(n *node) []string {
