Send calls to the service that the sidecar's settings name

Cause: a service sidecar took no address, so it could not reach its service. Ruled out: the address in the configuration, which may lag behind a replaced VM. Figures: race tests of router/booking, adapters, sidecar and stand-ins pass. Conclusion: the address stands in the settings, as for an engine.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -234,7 +234,12 @@
 func (c *Sidecar) newUpstream() upstream {
 	if c.settings.Kind == configuration.KindService {
 		naive := slices.Contains(c.settings.Naive, naiveBookings)
-		of := service.Settings{Upstream: c.settings.Upstream, VM: c.settings.VM, Naive: naive}
+		of := service.Settings{
+			Upstream:        c.settings.Upstream,
+			VM:              c.settings.VM,
+			UpstreamAddress: c.settings.UpstreamAddress,
+			Naive:           naive,
+		}
 		return plainService{bookings: service.New(of, c.store, c.vms, c.client, c.log)}
 	}
 	return modelEngine{claims: claim.NewTable(), controller: engine.NewController(
