--- a/router/booking/home.go
+++ b/router/booking/home.go
@@ -97,7 +97,6 @@
 		table:   newTable(defaultMaxRecords, defaultMaxBytes),
 		horizon: defaultHorizon,
 		skew:    defaultSkew,
-		widest:  defaultSkew,
 		pools:   make(map[string]*pool),
 		peers:   make(map[string]*peer),
 		running: running{counts: make(map[int64]int)},
--- a/router/booking/state.go
+++ b/router/booking/state.go
@@ -19,12 +19,14 @@
 
 	// PoolDump is the part of the state dump on one pool.
 	PoolDump struct {
-		Members   []string         `json:"members"`
-		Revision  int64            `json:"layout_revision"`
-		Settled   time.Time        `json:"settled"`
-		WaitsFor  map[string]int64 `json:"waits_for"`
-		HandedBy  int              `json:"handed_by"`
-		Remembers int              `json:"layouts"`
+		Members  []string  `json:"members"`
+		Revision int64     `json:"layout_revision"`
+		Settled  time.Time `json:"settled"`
+		// CoversAfter is the creation time after which each key is decided here.
+		CoversAfter time.Time        `json:"covers_keys_after"`
+		WaitsFor    map[string]int64 `json:"waits_for"`
+		HandedBy    int              `json:"handed_by"`
+		Remembers   int              `json:"layouts"`
 	}
 )
 
@@ -43,7 +45,7 @@
 		Pools:       make(map[string]PoolDump, len(h.pools)),
 	}
 	for name, p := range h.pools {
-		d.Pools[name] = p.dump()
+		d.Pools[name] = p.dump(h.widest + ClockBound)
 	}
 	return d
 }
@@ -57,7 +59,7 @@
 			return false
 		}
 	}
-	return h.revision >= h.ahead
+	return h.revision > 0 && h.revision >= h.ahead
 }
 
 // ListVersion returns the version of the newest list of VMs.
@@ -74,9 +76,10 @@
 	return h.leaving
 }
 
-func (p *pool) dump() PoolDump {
+func (p *pool) dump(margin time.Duration) PoolDump {
 	e := p.current()
 	d := PoolDump{Revision: e.revision, Settled: e.settled, Remembers: len(p.epochs), HandedBy: len(e.handed)}
+	d.CoversAfter = e.settled.Add(margin)
 	d.WaitsFor = make(map[string]int64, len(p.needs))
 	for name, revision := range p.needs {
 		d.WaitsFor[name] = revision
