Count crashes by name and blame only what ran

Three faults: a prefill was no longer noted as running when the engine's end was reported, so nobody was suspected; each sidecar counted its own crash as the first and the higher count won, so two crashes made one; a work that could not reach the dead engine was blamed. Crashes have names now (upstream, start, number) and tables unite them; a cleared crash stays cleared. Ruled out: telling the next sidecar before each retry, which still undercounts crashes at once.

--- a/router/adapter/wire/wire.go
+++ b/router/adapter/wire/wire.go
@@ -87,9 +87,10 @@
 	var list []*fleetv1.Suspect
 	for _, s := range suspects {
 		list = append(list, &fleetv1.Suspect{
-			Fingerprint:      s.Fingerprint,
-			Crashes:          int32(s.Crashes),
-			QuarantinedForMs: s.Remaining.Milliseconds(),
+			Fingerprint: s.Fingerprint,
+			Crashes:     s.Crashes,
+			Cleared:     s.Cleared,
+			RemainingMs: s.Remaining.Milliseconds(),
 		})
 	}
 	return list
@@ -101,8 +102,9 @@
 	for _, m := range list {
 		suspects = append(suspects, quarantine.Suspect{
 			Fingerprint: m.GetFingerprint(),
-			Crashes:     int(m.GetCrashes()),
-			Remaining:   Milliseconds(m.GetQuarantinedForMs()),
+			Crashes:     m.GetCrashes(),
+			Cleared:     m.GetCleared(),
+			Remaining:   Milliseconds(m.GetRemainingMs()),
 		})
 	}
 	return suspects
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,8 @@
 	defaultCapacity = 1024
 	// crashesToQuarantine is the number of upstreams that one fingerprint may crash.
 	crashesToQuarantine = 2
+	// maxCrashes bounds the crashes that one entry names.
+	maxCrashes = 8
 	// mergeTolerance keeps two tables from prolonging each other's entries.
 	mergeTolerance = time.Second
 )
@@ -32,12 +35,15 @@
 	// Quarantined content is refused for the remaining time.
 	Quarantined struct{ Remaining time.Duration }
 
-	// Suspect is an entry of a table, as processes tell it to each other.
+	// Suspect is an entry of a table, as processes tell it to each other. Crashes are
+	// named, so that two tables which know the same crash count it once.
 	Suspect struct {
-		Fingerprint string
-		Crashes     int
+		Fingerprint string   `json:"fingerprint"`
+		Crashes     []string `json:"crashes"`
+		// Cleared are crashes that a whole answer has excused.
+		Cleared []string `json:"cleared,omitempty"`
 		// Remaining is the time until the entry is forgotten.
-		Remaining time.Duration
+		Remaining time.Duration `json:"remaining_ns"`
 	}
 
 	// Table holds the suspects that a process knows, in bounded number.
@@ -45,22 +51,22 @@
 		mu       sync.Mutex
 		term     time.Duration
 		capacity int
-		entries  map[string]entry
+		entries  map[string]*entry
 	}
 
 	// Option changes a table's bounds.
 	Option func(*Table)
 
 	entry struct {
-		// crashes is zero for content that was cleared.
-		crashes int
+		// crashes tells for each crash whether it counts or was cleared.
+		crashes map[string]bool
 		expires time.Time
 	}
 )
 
 // NewTable returns an empty table.
 func NewTable(options ...Option) *Table {
-	t := &Table{term: defaultTerm, capacity: defaultCapacity, entries: make(map[string]entry)}
+	t := &Table{term: defaultTerm, capacity: defaultCapacity, entries: make(map[string]*entry)}
 	for _, o := range options {
 		o(t)
 	}
@@ -93,11 +99,11 @@
 
 // Report takes the fingerprints that ran when an upstream crashed. When suspects ran
 // among them, they explain the crash and the others stay free.
-func (t *Table) Report(running []string, now time.Time) {
+func (t *Table) Report(running []string, crash string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f].crashes == 0 })
+	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f].count() == 0 })
 	if len(blamed) == 0 {
 		blamed = running
 	}
@@ -105,7 +111,9 @@
 		if fingerprint == "" {
 			continue
 		}
-		t.put(fingerprint, entry{crashes: t.entries[fingerprint].crashes + 1, expires: now.Add(t.term)})
+		e := t.entry(fingerprint)
+		e.add(crash, true)
+		e.expires = now.Add(t.term)
 	}
 }
 
@@ -113,11 +121,11 @@
 func (t *Table) Check(fingerprint string, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, found := t.entries[fingerprint]
-	if !found || e.crashes == 0 || now.After(e.expires) {
+	e := t.entries[fingerprint]
+	switch {
+	case e.count() == 0 || now.After(e.expires):
 		return Free{}
-	}
-	if e.crashes < crashesToQuarantine {
+	case e.count() < crashesToQuarantine:
 		return Suspected{}
 	}
 	return Quarantined{Remaining: e.expires.Sub(now)}
@@ -127,9 +135,13 @@
 func (t *Table) Clear(fingerprint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, found := t.entries[fingerprint]
-	if found && e.crashes < crashesToQuarantine {
-		t.put(fingerprint, entry{expires: now.Add(t.term)})
+	t.forget(now)
+	e := t.entries[fingerprint]
+	if e == nil || e.count() >= crashesToQuarantine {
+		return
+	}
+	for crash := range e.crashes {
+		e.crashes[crash] = false
 	}
 }
 
@@ -140,42 +152,40 @@
 	t.forget(now)
 	list := make([]Suspect, 0, len(t.entries))
 	for fingerprint, e := range t.entries {
-		list = append(list, Suspect{Fingerprint: fingerprint, Crashes: e.crashes, Remaining: e.expires.Sub(now)})
+		s := Suspect{Fingerprint: fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now)}
+		for _, crash := range slices.Sorted(maps.Keys(e.crashes)) {
+			if e.crashes[crash] {
+				s.Crashes = append(s.Crashes, crash)
+			} else {
+				s.Cleared = append(s.Cleared, crash)
+			}
+		}
+		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b Suspect) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	return list
 }
 
-// Merge takes the entries of another table.
+// Merge adds what another table knows: all crashes of both count, unless one has cleared them.
 func (t *Table) Merge(suspects []Suspect, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
 	for _, s := range suspects {
-		expires := now.Add(s.Remaining)
-		if s.Remaining <= 0 || !t.supersedes(s, expires) {
+		if s.Remaining <= 0 {
 			continue
 		}
-		t.put(s.Fingerprint, entry{crashes: s.Crashes, expires: expires})
-	}
-}
-
-// supersedes tells whether what another table knows replaces the own entry. A cleared
-// entry replaces a suspected one, and only quarantine replaces a cleared one.
-func (t *Table) supersedes(s Suspect, expires time.Time) bool {
-	known, found := t.entries[s.Fingerprint]
-	if !found {
-		return true
+		e := t.entry(s.Fingerprint)
+		for _, crash := range s.Crashes {
+			e.add(crash, true)
+		}
+		for _, crash := range s.Cleared {
+			e.add(crash, false)
+		}
+		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
+			e.expires = expires
+		}
 	}
-	switch {
-	case s.Crashes == known.crashes:
-		return expires.Sub(known.expires) > mergeTolerance
-	case s.Crashes == 0:
-		return known.crashes < crashesToQuarantine
-	case known.crashes == 0:
-		return s.Crashes >= crashesToQuarantine
-	}
-	return s.Crashes > known.crashes
 }
 
 func (t *Table) forget(now time.Time) {
@@ -186,9 +196,13 @@
 	}
 }
 
-// put replaces the entry that ends first when the table is full.
-func (t *Table) put(fingerprint string, e entry) {
-	if _, found := t.entries[fingerprint]; !found && len(t.entries) >= t.capacity {
+// entry returns the entry of a fingerprint. A new one replaces that which ends first when
+// the table is full.
+func (t *Table) entry(fingerprint string) *entry {
+	if e, found := t.entries[fingerprint]; found {
+		return e
+	}
+	if len(t.entries) >= t.capacity {
 		first := ""
 		for f, other := range t.entries {
 			if first == "" || other.expires.Before(t.entries[first].expires) {
@@ -197,5 +211,29 @@
 		}
 		delete(t.entries, first)
 	}
+	e := &entry{crashes: make(map[string]bool)}
 	t.entries[fingerprint] = e
+	return e
+}
+
+// add notes a crash; a cleared one stays cleared.
+func (e *entry) add(crash string, counts bool) {
+	known, found := e.crashes[crash]
+	if !found && len(e.crashes) >= maxCrashes {
+		return
+	}
+	e.crashes[crash] = counts && (known || !found)
+}
+
+func (e *entry) count() int {
+	if e == nil {
+		return 0
+	}
+	total := 0
+	for _, counts := range e.crashes {
+		if counts {
+			total++
+		}
+	}
+	return total
 }
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -68,7 +68,11 @@
 		t.Run(name, func(t *testing.T) {
 			table, now := quarantine.NewTable(), time.Now()
 			check := func(f string) quarantine.Verdict { return table.Check(f, now) }
-			report := func(running []string) { table.Report(running, now) }
+			crashes := 0
+			report := func(running []string) {
+				crashes++
+				table.Report(running, fmt.Sprintf("crash-%d", crashes), now)
+			}
 			if test.naive {
 				check = func(string) quarantine.Verdict { return quarantine.Free{} }
 			}
@@ -81,26 +85,36 @@
 func TestMerge(t *testing.T) {
 	now := time.Now()
 	minute := time.Minute
+	merged := func(remaining time.Duration, crashes ...string) quarantine.Suspect {
+		return quarantine.Suspect{Fingerprint: killer, Crashes: crashes, Remaining: remaining}
+	}
 	tests := map[string]struct {
-		own    int
+		own    []string
 		merged quarantine.Suspect
+		clear  bool
 		after  time.Duration
 		want   quarantine.Verdict
 	}{
-		"unknown suspect":     {merged: quarantine.Suspect{Crashes: 1, Remaining: minute}, want: quarantine.Suspected{}},
-		"quarantine":          {own: 1, merged: quarantine.Suspect{Crashes: 2, Remaining: minute}, want: quarantine.Quarantined{Remaining: minute}},
-		"fewer crashes":       {own: 2, merged: quarantine.Suspect{Crashes: 1, Remaining: minute}, want: quarantine.Quarantined{Remaining: 2 * minute}},
-		"echo does not renew": {own: 2, merged: quarantine.Suspect{Crashes: 2, Remaining: 2*minute + time.Millisecond}, want: quarantine.Quarantined{Remaining: 2 * minute}},
-		"forgotten in time":   {own: 2, after: 2*minute + 1, want: quarantine.Free{}},
-		"nothing remains":     {merged: quarantine.Suspect{Crashes: 2}, want: quarantine.Free{}},
+		"unknown suspect":      {merged: merged(minute, "a"), want: quarantine.Suspected{}},
+		"same crash":           {own: []string{"a"}, merged: merged(minute, "a"), want: quarantine.Suspected{}},
+		"two crashes at once":  {own: []string{"a"}, merged: merged(minute, "b"), want: quarantine.Quarantined{Remaining: 2 * minute}},
+		"echo does not renew":  {own: []string{"a", "b"}, merged: merged(2*minute+time.Millisecond, "a", "b"), want: quarantine.Quarantined{Remaining: 2 * minute}},
+		"forgotten in time":    {own: []string{"a", "b"}, after: 2*minute + 1, want: quarantine.Free{}},
+		"nothing remains":      {merged: merged(0, "a", "b"), want: quarantine.Free{}},
+		"cleared stays free":   {own: []string{"a"}, clear: true, merged: merged(minute, "a"), want: quarantine.Free{}},
+		"cleared, then anew":   {own: []string{"a"}, clear: true, merged: merged(minute, "b"), want: quarantine.Suspected{}},
+		"quarantine stays":     {own: []string{"a", "b"}, clear: true, want: quarantine.Quarantined{Remaining: 2 * minute}},
+		"clearing is told too": {own: []string{"a"}, merged: quarantine.Suspect{Fingerprint: killer, Cleared: []string{"a"}, Remaining: minute}, want: quarantine.Free{}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			table := quarantine.NewTable(quarantine.WithTerm(2 * minute))
-			for range test.own {
-				table.Report([]string{killer}, now)
+			for _, crash := range test.own {
+				table.Report([]string{killer}, crash, now)
+			}
+			if test.clear {
+				table.Clear(killer, now)
 			}
-			test.merged.Fingerprint = killer
 			table.Merge([]quarantine.Suspect{test.merged}, now)
 			is.New(t).Equal(table.Check(killer, now.Add(test.after)), test.want)
 		})
@@ -112,7 +126,7 @@
 	now := time.Now()
 	table := quarantine.NewTable(quarantine.WithCapacity(2))
 	for i, fingerprint := range []string{"a", "b", "c"} {
-		table.Report([]string{fingerprint}, now.Add(time.Duration(i)*time.Second))
+		table.Report([]string{fingerprint}, "crash", now.Add(time.Duration(i)*time.Second))
 	}
 	is.Equal(len(table.Suspects(now)), 2)
 	is.Equal(table.Check("a", now), quarantine.Free{}) // the one that ends first makes room
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -101,7 +101,7 @@
 		KeepsLeases bool
 		// KeepsOrphans never cancels a stream that nobody claims.
 		KeepsOrphans bool
-		// IgnoresSuspects runs content that crashed engines.
+		// IgnoresSuspects neither reports nor refuses content that crashed engines.
 		IgnoresSuspects bool
 		// IgnoresLeaving takes new work on a leaving upstream.
 		IgnoresLeaving bool
--- a/sidecar/engine/controller_test.go
+++ b/sidecar/engine/controller_test.go
@@ -167,7 +167,7 @@
 		synctest.Wait()
 		var names []string
 		for _, s := range b.controller.suspects.Suspects(time.Now()) {
-			is.Equal(s.Crashes, 1) // one crash counts once, however many saw it
+			is.Equal(len(s.Crashes), 1) // one crash counts once, however many saw it
 			names = append(names, s.Fingerprint)
 		}
 		is.Equal(names, []string{"f-k1", "f-k2", "f-k3"})
@@ -176,10 +176,27 @@
 	})
 }
 
+func TestPrefillDeathNamesSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(configuration.RolePrefill)
+		work := port.Prefill{Attempt: port.Attempt{KeyDigest: "k", Number: 1}, Keeper: testKeeper, Model: testModel, Prompt: "quilt", Fingerprint: "f", Budget: time.Second}
+		r := b.controller.Prefill(context.Background(), work, func(e port.PrefillEvent) error {
+			if _, ahead := e.(port.AtHead); ahead {
+				close(b.engine.dead)
+				is.Equal(b.controller.StartPrefill(work.Attempt), nil)
+			}
+			return nil
+		})
+		is.Equal(r.Reason, refusal.UpstreamLost)
+		is.Equal(b.controller.suspects.Check("f", time.Now()), quarantine.Suspected{})
+	})
+}
+
 func TestSuspectRunsWithoutOtherSuspects(t *testing.T) {
 	is := is.New(t)
 	suspects := quarantine.NewTable()
-	suspects.Report([]string{"f-k1", "f-k2"}, time.Now())
+	suspects.Report([]string{"f-k1", "f-k2"}, "crash", time.Now())
 	b := newBench(configuration.RoleDecode, WithSuspects(suspects))
 	is.Equal(b.controller.Reserve(reservation("k1", 10)), nil)
 	is.Equal(b.controller.Reserve(reservation("k2", 10)).Reason, refusal.Overloaded)
--- a/sidecar/engine/decode.go
+++ b/sidecar/engine/decode.go
@@ -119,7 +119,7 @@
 		case pulling.Err() != nil:
 			return refusal.New(refusal.RanNo, refusal.KVLost, queueRetry, "the transfer stalled")
 		case err != nil:
-			return c.failed(ctx, err, epoch)
+			return c.failed(ctx, w, err, epoch)
 		}
 		stall.Reset(stallAfter)
 		c.link.Progress(w.item, progress.ReceivedBytes, time.Now())
@@ -171,7 +171,7 @@
 			return w.ended(ran)
 		}
 		if resumes >= maxResumes || !c.holds(ctx, w.item) {
-			r := c.failed(ctx, err, epoch)
+			r := c.failed(ctx, w, err, epoch)
 			r.Ran = ran
 			return r
 		}
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -172,16 +172,16 @@
 	case <-ctx.Done():
 		return w.ended(refusal.RanNo)
 	}
+	defer func() { <-c.prefilling }()
 	epoch := c.execute(w)
+	defer c.executed(w)
 	began := time.Now()
 	result, err := c.engine.Prefill(ctx, port.PrefillWork{StreamID: w.item, Model: p.Model, Prompt: p.Prompt})
-	c.executed(w)
-	<-c.prefilling
 	if ctx.Err() != nil {
 		return w.ended(refusal.RanUnknown)
 	}
 	if err != nil {
-		return c.failed(ctx, err, epoch)
+		return c.failed(ctx, w, err, epoch)
 	}
 	c.queue.Done(int(result.PromptTokens-result.CachedTokens), time.Since(began))
 	done := port.Prefilled{
--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"gooseberrypin.example/router/event"
@@ -34,8 +35,8 @@
 }
 
 // failed turns an engine's error into a refusal. The first one that tells of a dead
-// engine reports all that ran on it as suspects.
-func (c *Controller) failed(ctx context.Context, err error, epoch int) *refusal.Refusal {
+// engine reports all that ran on it as suspects; what did not reach it is none.
+func (c *Controller) failed(ctx context.Context, w *work, err error, epoch int) *refusal.Refusal {
 	var fault *port.EngineError
 	if !errors.As(err, &fault) {
 		return refusal.New(refusal.RanUnknown, refusal.UpstreamLost, lostRetry, "%s", err)
@@ -52,6 +53,7 @@
 	ran := refusal.RanUnknown
 	if !fault.Sent {
 		ran = refusal.RanNo
+		c.executed(w)
 	}
 	if ctx.Err() == nil {
 		c.lost(epoch)
@@ -62,7 +64,7 @@
 // lost reports the end of an engine once.
 func (c *Controller) lost(epoch int) {
 	c.mu.Lock()
-	if epoch != c.epoch {
+	if epoch != c.epoch || c.down {
 		c.mu.Unlock()
 		return
 	}
@@ -71,11 +73,12 @@
 	c.counters.EnginesLost++
 	fingerprints := make([]string, 0, len(c.executing))
 	for w, since := range c.executing {
-		if since == epoch {
+		if since == epoch && !c.naive.IgnoresSuspects {
 			fingerprints = append(fingerprints, w.fingerprint)
 		}
 	}
-	c.suspects.Report(fingerprints, time.Now())
+	crash := fmt.Sprintf("%s/%d/%d", c.settings.Upstream, c.settings.Started.UnixMilli(), c.epoch)
+	c.suspects.Report(fingerprints, crash, time.Now())
 	c.mu.Unlock()
 	c.log.Info(event.EngineLost, "upstream", c.settings.Upstream)
 	if len(fingerprints) > 0 {
@@ -94,7 +97,7 @@
 	load, err := c.engine.Load(ctx)
 	var fault *port.EngineError
 	if errors.As(err, &fault) && !fault.Sent {
-		c.unreachable(epoch)
+		c.lost(epoch)
 		return
 	}
 	if err != nil {
@@ -111,15 +114,6 @@
 	}
 }
 
-func (c *Controller) unreachable(epoch int) {
-	c.mu.Lock()
-	known := c.down
-	c.mu.Unlock()
-	if !known {
-		c.lost(epoch)
-	}
-}
-
 // sweep cancels streams of the engine that no attempt holds. A restarted process thereby
 // frees what its predecessor left.
 func (c *Controller) sweep(ctx context.Context) {
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -16,6 +16,8 @@
 const (
 	pushTimeout = 300 * time.Millisecond
 	pushWorkers = 16
+	// maxConcerned bounds the processes that are told at once; heartbeats tell the others.
+	maxConcerned = 1024
 )
 
 type (
@@ -73,7 +75,8 @@
 	}
 }
 
-// pushSuspects tells all entries of new suspects, as a caller resends at once.
+// pushSuspects tells all entries and the other members of the own pools of new suspects,
+// as a caller resends at once.
 func (c *Sidecar) pushSuspects() {
 	message := &fleetv1.HeartbeatRequest{
 		From:     c.process(),
@@ -84,15 +87,34 @@
 	defer cancel()
 	slots := make(chan struct{}, pushWorkers)
 	var wg sync.WaitGroup
-	for _, v := range c.vms.Current().VMs {
-		if v.Role != vm.RoleEntry || v.FleetAddress == "" {
-			continue
-		}
+	for _, address := range c.concerned() {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(v.FleetAddress), c.client).Heartbeat(ctx, message)
+			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(address), c.client).Heartbeat(ctx, message)
 		})
 	}
 	wg.Wait()
 }
+
+// concerned returns the addresses of the processes that must know a suspect soon.
+func (c *Sidecar) concerned() []string {
+	var addresses []string
+	for _, v := range c.vms.Current().VMs {
+		if v.Role == vm.RoleEntry && v.FleetAddress != "" {
+			addresses = append(addresses, v.FleetAddress)
+		}
+	}
+	s := c.store.Current()
+	if s == nil {
+		return addresses
+	}
+	for _, p := range s.Index.PoolsOf(c.settings.Upstream) {
+		for _, u := range s.Index.Members(p.Name) {
+			if u.Name != c.settings.Upstream && len(addresses) < maxConcerned {
+				addresses = append(addresses, u.SidecarAddress)
+			}
+		}
+	}
+	return addresses
+}
