--- a/scenario/cmd/demo/requests.go
+++ b/scenario/cmd/demo/requests.go
@@ -60,7 +60,7 @@
 // resendGeneration sends one key through the other entry while its answer is on the way.
 func (c *caller) resendGeneration(ctx context.Context) error {
 	key := newKey()
-	first := answer.NewRecord("")
+	first := answer.NewRecord()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -93,7 +93,7 @@
 }
 
 func (c *caller) generate(ctx context.Context, entry, key string, tokens int32) {
-	r := answer.NewRecord("")
+	r := answer.NewRecord()
 	c.runGeneration(ctx, entry, key, tokens, r)
 	c.print(entry, "generate", key, r.Answer())
 	c.tally.add(key, r.Answer())
@@ -114,7 +114,7 @@
 func (c *caller) call(ctx context.Context, entry, key, service string) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	r := answer.NewRecord("")
+	r := answer.NewRecord()
 	c.senders[entry].Call(ctx, answer.Call{Key: key, Service: service, Path: "/run", Body: `{"van":2}`}, r)
 	c.print(entry, service, key, r.Answer())
 	c.tally.addCall(key, service, r.Answer())
