--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -22,11 +23,14 @@
 		// exhausted tells that no decode upstream has memory.
 		exhausted bool
 		decode    *Target
+		// gone tells whether the caller has gone.
+		gone func() bool
 	}
 )
 
 // run prefills, reserves and decodes. What was held is released on every way out.
 func (w *work) run(ctx context.Context) result {
+	w.gone = func() bool { return ctx.Err() != nil }
 	kv, why := w.prefill(ctx)
 	if why != nil {
 		w.release()
@@ -94,6 +98,9 @@
 	defer stream.Close()
 	for {
 		e, err := stream.Next()
+		if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return port.KV{}, refusal.New(refusal.RanNo, refusal.Deadline, defaultRetryAfter, "no prefill in time at %s", target.Upstream)
+		}
 		if err != nil {
 			return port.KV{}, w.unreachable(target)
 		}
@@ -248,8 +255,11 @@
 	}
 }
 
+// unreachable keeps work from an upstream, unless the stream ended with its caller.
 func (w *work) unreachable(t Target) *refusal.Refusal {
-	w.runner.route.Down(t.Upstream, time.Now())
+	if !w.gone() {
+		w.runner.route.Down(t.Upstream, time.Now())
+	}
 	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
 }
 
