Count an answer as whole at the end of its stream

Cause: a caller that hangs up right after the completion counts at the entry as one that lost the connection, so its resend gets the kept answer again. Ruled out: a fault of the keeper.

--- a/scenario/answer/answer.go
+++ b/scenario/answer/answer.go
@@ -56,6 +56,8 @@
 		answer  Answer
 		earlier []string
 		tokens  []string
+		// proved is set by a completion that fits the tokens.
+		proved bool
 	}
 )
 
@@ -102,7 +104,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answer = Answer{State: Running, Tries: r.answer.Tries + 1, Reasons: r.answer.Reasons}
-	r.tokens = slices.Clone(r.earlier)
+	r.tokens, r.proved = slices.Clone(r.earlier), false
 	return int64(len(r.tokens))
 }
 
@@ -130,9 +132,19 @@
 	defer r.mu.Unlock()
 	sum := sha256.Sum256([]byte(strings.Join(r.tokens, "")))
 	if int64(len(r.tokens)) == count && hex.EncodeToString(sum[:]) == digest {
-		r.answer.State = Whole
+		r.proved = true
 		return
 	}
 	r.answer.State = Wrong
 	r.answer.Message = fmt.Sprintf("%d tokens, the completion says %d", len(r.tokens), count)
 }
+
+// finish ends a stream that was read to its end, and tells whether its outcome is known.
+func (r *Record) finish() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answer.State == Running && r.proved {
+		r.answer.State = Whole
+	}
+	return r.answer.State != Running
+}
--- a/scenario/answer/answer_test.go
+++ b/scenario/answer/answer_test.go
@@ -45,6 +45,7 @@
 			}
 			sum := sha256.Sum256([]byte(test.text))
 			r.complete(test.count, hex.EncodeToString(sum[:]))
+			r.finish()
 			is.Equal(r.Answer().State, test.want) // state of the answer
 		})
 	}
--- a/scenario/answer/sender.go
+++ b/scenario/answer/sender.go
@@ -78,7 +78,7 @@
 		}
 		pause(ctx, g.Pause)
 	}
-	if r.Answer().State == Running {
+	if !r.finish() {
 		s.fail(ctx, stream.Err(), r)
 	}
 }
