Let a fresh process ask the peers of its settings

Cause: a process that starts while the platform is down has no VM list, so it knew no peer and stayed without a configuration (configuration_in_force: entry1 killed and started while the platform was down, revision 0 after 9 s). Chosen: peer_addresses in the settings, used by the subscription's seeds.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -160,7 +160,7 @@
 		generation.WithFirstToken(e.firstToken))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
-		e.store, e.vms, newRandom(e.random.Uint64()), e.log)
+		e.store, e.vms, newRandom(e.random.Uint64()), e.log, subscription.WithSeeds(s.PeerAddresses...))
 }
 
 // firstToken is the target that the operators set.
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -33,6 +33,9 @@
 		OperatorAddress string `json:"operator_address"`
 		// PlatformAddress is the configuration service, as IP:port.
 		PlatformAddress string `json:"platform_address"`
+		// PeerAddresses are fleet addresses of some other processes, as IP:port. A fresh
+		// process asks them when the platform can't be read.
+		PeerAddresses []string `json:"peer_addresses"`
 		// FleetKeys are one or two keys; the first is sent, each is accepted.
 		FleetKeys []string `json:"fleet_keys"`
 		// DialOverrides maps a published address to the one that is dialled.
@@ -78,6 +81,9 @@
 	f.Address("fleet_address", p.FleetAddress)
 	f.Address("operator_address", p.OperatorAddress)
 	f.Address("platform_address", p.PlatformAddress)
+	for i, address := range p.PeerAddresses {
+		f.Address(fmt.Sprintf("peer_addresses[%d]", i), address)
+	}
 	for from, to := range p.DialOverrides {
 		f.Address("dial_overrides", from)
 		f.Address("dial_overrides."+from, to)
--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -28,6 +28,7 @@
 			FleetAddress:    n.fleet,
 			OperatorAddress: n.operator,
 			PlatformAddress: f.platform,
+			PeerAddresses:   f.peers(n),
 			FleetKeys:       []string{fleetKey},
 			Seed:            1,
 		},
@@ -43,6 +44,17 @@
 	return s, nil
 }
 
+// peers returns the fleet addresses of the other entries.
+func (f *Fleet) peers(n *node) []string {
+	var list []string
+	for _, other := range f.nodes {
+		if other.isEntry() && other != n {
+			list = append(list, other.fleet)
+		}
+	}
+	return list
+}
+
 // naiveOf returns the mechanisms that one process is to switch off. They are named
 // entry.MECHANISM or sidecar.MECHANISM.
 func (f *Fleet) naiveOf(n *node) []string {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -114,7 +114,8 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, peer.NewClient(c.client), c.store, c.vms, c.fork(), log)
+	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, peer.NewClient(c.client), c.store, c.vms, c.fork(), log,
+		subscription.WithSeeds(s.PeerAddresses...))
 	c.upstream = c.newUpstream()
 	c.publishMetrics()
 	return c
