Count the demo's outcomes by the partner stand-in

Cause: issue of the demo asks for figures counted by the partner and the service stand-ins; the demo had counters of its own.

--- a/scenario/answer/answer.go
+++ b/scenario/answer/answer.go
@@ -56,6 +56,8 @@
 		answer  Answer
 		earlier []string
 		tokens  []string
+		// id names the answer that the tokens belong to.
+		id string
 		// proved is set by a completion that fits the tokens.
 		proved bool
 	}
@@ -71,7 +73,7 @@
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	r := NewRecord()
-	r.earlier = slices.Clone(other.tokens)
+	r.earlier, r.id = slices.Clone(other.tokens), other.id
 	return r
 }
 
@@ -99,18 +101,19 @@
 	f(&r.answer)
 }
 
-// begin starts a try with the tokens that the caller had before, and returns their number.
-func (r *Record) begin() int64 {
+// begin starts a try with the tokens that the caller had before, and returns their
+// number and the answer that they belong to.
+func (r *Record) begin() (tokens int64, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answer = Answer{State: Running, Tries: r.answer.Tries + 1, Reasons: r.answer.Reasons}
 	r.tokens, r.proved = slices.Clone(r.earlier), false
-	return int64(len(r.tokens))
+	return int64(len(r.tokens)), r.id
 }
 
-// addPiece puts tokens at their offset. An answer may start again at an earlier offset;
+// addPiece puts tokens of an answer at their offset. An answer may start again at an earlier offset;
 // a gap makes it wrong.
-func (r *Record) addPiece(offset int64, tokens []string) bool {
+func (r *Record) addPiece(id string, offset int64, tokens []string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	have := int64(len(r.tokens))
@@ -122,6 +125,7 @@
 	if offset < have {
 		r.answer.Restarts++
 	}
+	r.id = id
 	r.tokens = append(r.tokens[:offset], tokens...)
 	return true
 }
--- a/scenario/answer/answer_test.go
+++ b/scenario/answer/answer_test.go
@@ -38,7 +38,7 @@
 			r.earlier = test.earlier
 			r.begin()
 			for _, p := range test.pieces {
-				if !r.addPiece(p.offset, p.tokens) {
+				if !r.addPiece("answer", p.offset, p.tokens) {
 					is.Equal(r.Answer().State, test.want)
 					return
 				}
--- a/scenario/answer/sender.go
+++ b/scenario/answer/sender.go
@@ -57,13 +57,14 @@
 
 // Generate sends a generation and fills the record until the answer ends.
 func (s *Sender) Generate(ctx context.Context, g Generation, r *Record) {
-	offset := r.begin()
+	offset, id := r.begin()
 	request := connect.NewRequest(&callerv1.GenerateRequest{
 		IdempotencyKey:  g.Key,
 		Model:           g.Model,
 		Prompt:          g.Prompt,
 		MaxOutputTokens: g.MaxTokens,
 		OffsetTokens:    offset,
+		AnswerId:        id,
 	})
 	s.authorize(request.Header())
 	stream, err := s.client.Generate(ctx, request)
@@ -127,7 +128,7 @@
 // take tells whether to read on. The end of the stream is read after the completion
 // too: a caller that hangs up earlier counts as one that lost the connection.
 func take(m *callerv1.GenerateResponse, r *Record) bool {
-	if len(m.GetTokens()) > 0 && !r.addPiece(m.GetOffsetTokens(), m.GetTokens()) {
+	if len(m.GetTokens()) > 0 && !r.addPiece(m.GetAnswerId(), m.GetOffsetTokens(), m.GetTokens()) {
 		return false
 	}
 	if c := m.GetCompletion(); c != nil {
--- a/scenario/cmd/demo/addresses.go
+++ b/scenario/cmd/demo/addresses.go
@@ -27,5 +27,5 @@
 	return fmt.Sprintf(`curl -s http://%s/gooseberry.caller.v1.Router/Complete \
   -H 'Content-Type: application/json' -H 'Authorization: Bearer %s' \
   -d '{"idempotencyKey":"quilt-1","model":"%s","prompt":"How is a cotton quilt washed?","maxOutputTokens":12}'`,
-		caller, fleet.Credential(partner), fleet.Model)
+		caller, fleet.Credential(partnerName), fleet.Model)
 }
--- a/scenario/cmd/demo/requests.go
+++ b/scenario/cmd/demo/requests.go
@@ -4,136 +4,120 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
-
-	"gooseberrypin.example/scenario/answer"
 	"gooseberrypin.example/scenario/fleet"
+	"gooseberrypin.example/standin/partner"
 )
 
 const (
-	partner = "varal"
-	// requestTimeout bounds one request.
-	requestTimeout = 20 * time.Second
-	pollInterval   = 20 * time.Millisecond
-	longAnswer     = 200
-	shortAnswer    = 24
+	partnerName = "varal"
+	// patience is how long the impatient partner waits for a first token.
+	patience    = 20 * time.Millisecond
+	longAnswer  = 200
+	shortAnswer = 24
 )
 
 type (
-	// caller sends the demo's requests and counts their outcomes.
+	// caller sends the demo's requests through both entries and counts their outcomes.
 	caller struct {
-		fleet   *fleet.Fleet
-		senders map[string]*answer.Sender
-		out     io.Writer
-		tally   *tally
+		entries   []string
+		patient   *partner.Client
+		impatient *partner.Client
+		random    *rand.Rand
+		out       io.Writer
+		tally     *tally
 	}
 )
 
 // serve sends requests of both kinds through both entries and resends one of each.
 func serve(ctx context.Context, f *fleet.Fleet, out io.Writer) (*tally, error) {
-	c := &caller{fleet: f, senders: make(map[string]*answer.Sender), out: out, tally: newTally()}
-	for _, entry := range []string{"entry1", "entry2"} {
-		address, err := f.CallerAddress(entry)
-		if err != nil {
-			return nil, err
-		}
-		c.senders[entry] = answer.NewSender(address, fleet.Credential(partner))
-	}
-	for _, entry := range []string{"entry1", "entry2"} {
-		c.generate(ctx, entry, newKey(), shortAnswer)
-		c.generate(ctx, entry, newKey(), shortAnswer)
-		c.call(ctx, entry, newKey(), fleet.CatalogueService)
-	}
-	if err := c.resendGeneration(ctx); err != nil {
+	c, err := newCaller(f, out)
+	if err != nil {
 		return nil, err
 	}
+	for first := range c.entries {
+		c.send(ctx, c.patient, first, c.generation(shortAnswer))
+		c.send(ctx, c.patient, first, c.generation(shortAnswer))
+		c.send(ctx, c.patient, first, c.call(fleet.CatalogueService))
+	}
+	fmt.Fprintln(out, "resent through the other entry before the first token:")
+	c.send(ctx, c.impatient, 0, c.generation(longAnswer))
 	// A home that has just started runs no key created before that, so bookings come last.
-	c.call(ctx, "entry1", newKey(), fleet.BookingService)
-	c.call(ctx, "entry2", newKey(), fleet.BookingService)
-	key := newKey()
-	c.call(ctx, "entry1", key, fleet.BookingService)
-	c.call(ctx, "entry2", key, fleet.BookingService)
+	for first := range c.entries {
+		c.send(ctx, c.patient, first, c.call(fleet.BookingService))
+	}
+	fmt.Fprintln(out, "one booking, sent through each entry:")
+	booking := c.call(fleet.BookingService)
+	c.send(ctx, c.patient, 0, booking)
+	c.send(ctx, c.patient, 1, booking)
 	return c.tally, c.tally.countRuns(f)
 }
 
-// resendGeneration sends one key through the other entry while its answer is on the way.
-func (c *caller) resendGeneration(ctx context.Context) error {
-	key := newKey()
-	first := answer.NewRecord()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		c.runGeneration(ctx, "entry1", key, longAnswer, first)
-	}()
-	if !c.awaitTokens(ctx, first, ended) {
-		return eris.Errorf("resend: the first answer did not begin: %+v", first.Answer())
+func newCaller(f *fleet.Fleet, out io.Writer) (*caller, error) {
+	c := &caller{
+		entries: []string{"entry1", "entry2"},
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		out:     out,
+		tally:   newTally(),
 	}
-	c.generate(ctx, "entry2", key, longAnswer)
-	<-ended
-	c.print("entry1", "generate", key, first.Answer())
-	c.tally.add(key, first.Answer())
-	return nil
-}
-
-// awaitTokens waits until an answer has begun.
-func (c *caller) awaitTokens(ctx context.Context, r *answer.Record, ended <-chan struct{}) bool {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	for r.Answer().Tokens == 0 {
-		select {
-		case <-tick.C:
-		case <-ended:
-			return r.Answer().Tokens > 0
-		case <-ctx.Done():
-			return false
+	var addresses []string
+	for _, entry := range c.entries {
+		address, err := f.CallerAddress(entry)
+		if err != nil {
+			return nil, err
 		}
+		addresses = append(addresses, address)
 	}
-	return true
+	credential := fleet.Credential(partnerName)
+	c.patient = partner.New(credential, addresses)
+	c.impatient = partner.New(credential, addresses, partner.WithPatience(patience), partner.WithTries(2))
+	return c, nil
 }
 
-func (c *caller) generate(ctx context.Context, entry, key string, tokens int32) {
-	r := answer.NewRecord()
-	c.runGeneration(ctx, entry, key, tokens, r)
-	c.print(entry, "generate", key, r.Answer())
-	c.tally.add(key, r.Answer())
+func (c *caller) send(ctx context.Context, client *partner.Client, first int, r partner.Request) {
+	o := client.Send(ctx, r, first)
+	c.print(c.entries[first], r, o)
+	c.tally.add(r, o)
 }
 
-func (c *caller) runGeneration(ctx context.Context, entry, key string, tokens int32, r *answer.Record) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	g := answer.Generation{
-		Key:       key,
-		Model:     fleet.Model,
-		Prompt:    fleet.Prompt("How is a cotton quilt washed when its lining is loose? "+key, tokens),
-		MaxTokens: tokens,
+func (c *caller) generation(tokens int32) partner.Request {
+	key := c.newKey()
+	return partner.Generation{
+		Key:             key,
+		Model:           fleet.Model,
+		Prompt:          fleet.Prompt("How is a cotton quilt washed when its lining is loose? "+key, tokens),
+		MaxOutputTokens: tokens,
 	}
-	c.senders[entry].Generate(ctx, g, r)
 }
 
-func (c *caller) call(ctx context.Context, entry, key, service string) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	r := answer.NewRecord()
-	c.senders[entry].Call(ctx, answer.Call{Key: key, Service: service, Path: "/run", Body: `{"van":2}`}, r)
-	c.print(entry, service, key, r.Answer())
-	c.tally.addCall(key, service, r.Answer())
+func (c *caller) call(service string) partner.Request {
+	return partner.Call{Key: c.newKey(), Service: service, Path: "/run", Body: []byte(`{"van":2}`)}
+}
+
+func (c *caller) newKey() string {
+	return partner.NewKey(time.Now(), c.random)
 }
 
-func (c *caller) print(entry, what, key string, a answer.Answer) {
-	fmt.Fprintf(c.out, "%s %-9s key=%s %s", entry, what, key, a.State)
-	switch a.State {
-	case answer.Whole:
-		fmt.Fprintf(c.out, " tokens=%d status=%d replayed=%t\n", a.Tokens, a.Status, a.Replay)
-	case answer.Refused:
-		fmt.Fprintf(c.out, " reason=%s ran=%s\n", a.Reason, a.Ran)
-	default:
-		fmt.Fprintf(c.out, " %s\n", a.Message)
+func (c *caller) print(entry string, r partner.Request, o partner.Outcome) {
+	fmt.Fprintf(c.out, "%s %s: ", entry, describe(r))
+	switch o := o.(type) {
+	case partner.Answered:
+		fmt.Fprintf(c.out, "answered, tries=%d replayed=%d in %s\n", o.Tries, o.Replayed, o.Total.Round(time.Millisecond))
+	case partner.Refused:
+		fmt.Fprintf(c.out, "refused, tries=%d: %v\n", o.Tries, o.Refusal)
+	case partner.Cut:
+		fmt.Fprintf(c.out, "cut, tries=%d: %v\n", o.Tries, o.Err)
 	}
 }
 
-func newKey() string {
-	return uuid.Must(uuid.NewV7()).String()
+func describe(r partner.Request) string {
+	switch r := r.(type) {
+	case partner.Generation:
+		return "generate " + r.Key
+	case partner.Call:
+		return r.Service + " " + r.Key
+	}
+	return "unknown"
 }
--- a/scenario/cmd/demo/tally.go
+++ b/scenario/cmd/demo/tally.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"gooseberrypin.example/scenario/answer"
 	"gooseberrypin.example/scenario/fleet"
+	"gooseberrypin.example/standin/partner"
 )
 
 type (
@@ -19,10 +19,10 @@
 
 	// outcome is what the tries of one key came to.
 	outcome struct {
-		booking bool
-		whole   int
-		cut     int
-		refused int
+		booking  bool
+		answered int
+		refused  int
+		cut      int
 	}
 )
 
@@ -30,13 +30,13 @@
 	return &tally{keys: make(map[string]*outcome)}
 }
 
-// String is the last line of the demo. A cut try counts even when a resend was answered.
+// String is the last line of the demo. A cut counts even when a resend was answered.
 func (t *tally) String() string {
 	answered, refused, cut := 0, 0, 0
 	for _, o := range t.keys {
 		cut += o.cut
 		switch {
-		case o.whole > 0:
+		case o.answered > 0:
 			answered++
 		case o.refused > 0:
 			refused++
@@ -45,23 +45,23 @@
 	return fmt.Sprintf("demo: answered=%d refused=%d duplicates=%d cut=%d", answered, refused, t.duplicates, cut)
 }
 
-// add counts a try of a generation; a second whole answer of a key is a duplicate.
-func (t *tally) add(key string, a answer.Answer) {
-	o := t.outcome(key)
-	o.count(a)
-	if o.whole > 1 && a.State == answer.Whole {
-		t.duplicates++
+// add counts what the partner saw of a request. A second whole answer of a generation is
+// a duplicate; the kept result of a call may come back many times.
+func (t *tally) add(r partner.Request, seen partner.Outcome) {
+	switch r := r.(type) {
+	case partner.Generation:
+		o := t.outcome(r.Key)
+		o.count(seen)
+		if o.answered > 1 {
+			t.duplicates += o.answered - 1
+		}
+	case partner.Call:
+		o := t.outcome(r.Key)
+		o.booking = r.Service == fleet.BookingService
+		o.count(seen)
 	}
 }
 
-// addCall counts a try of a call. A kept result may come back many times; the
-// service tells how often the call ran.
-func (t *tally) addCall(key, service string, a answer.Answer) {
-	o := t.outcome(key)
-	o.booking = service == fleet.BookingService
-	o.count(a)
-}
-
 // countRuns adds the bookings that the services ran more than once.
 func (t *tally) countRuns(f *fleet.Fleet) error {
 	runs := make(map[string]int)
@@ -70,11 +70,15 @@
 			return err
 		}
 	}
+	return t.compareRuns(runs)
+}
+
+func (t *tally) compareRuns(runs map[string]int) error {
 	for key, o := range t.keys {
 		if !o.booking {
 			continue
 		}
-		if o.whole > 0 && runs[key] == 0 {
+		if o.answered > 0 && runs[key] == 0 {
 			return eris.Errorf("booking %s was answered but no service ran it", key)
 		}
 		t.duplicates += max(0, runs[key]-1)
@@ -82,11 +86,11 @@
 	return nil
 }
 
-// fault tells whether a promise was broken or nothing was answered.
+// fault tells which promise was broken, if any.
 func (t *tally) fault() error {
 	for key, o := range t.keys {
-		if o.whole == 0 || o.cut > 0 {
-			return eris.Errorf("key %s: answered %d times, cut %d times", key, o.whole, o.cut)
+		if o.answered == 0 || o.cut > 0 {
+			return eris.Errorf("key %s: answered %d times, cut %d times", key, o.answered, o.cut)
 		}
 	}
 	if t.duplicates > 0 {
@@ -104,13 +108,15 @@
 	return o
 }
 
-func (o *outcome) count(a answer.Answer) {
-	switch a.State {
-	case answer.Whole:
-		o.whole++
-	case answer.Refused:
+func (o *outcome) count(seen partner.Outcome) {
+	switch s := seen.(type) {
+	case partner.Answered:
+		o.answered += s.Answers
+		o.cut += s.Mismatches
+	case partner.Refused:
 		o.refused++
-	default:
+		o.cut += s.Mismatches
+	case partner.Cut:
 		o.cut++
 	}
 }
