--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -6,10 +6,6 @@
 	"gooseberrypin.example/router/settings"
 )
 
-const (
-	seedCount = 3
-)
-
 type (
 	// processSettings are the settings of an entry or a sidecar as it reads them.
 	processSettings struct {
@@ -32,7 +28,7 @@
 			FleetAddress:    n.fleet,
 			OperatorAddress: n.operator,
 			PlatformAddress: f.platform,
-			SeedAddresses:   f.seeds(n),
+			PeerAddresses:   f.peers(n),
 			FleetKeys:       []string{fleetKey},
 			Seed:            1,
 		},
@@ -48,15 +44,15 @@
 	return s, nil
 }
 
-// seeds returns the fleet addresses of a few other VMs.
-func (f *Fleet) seeds(n *node) []string {
-	var addresses []string
+// peers returns the fleet addresses of the other entries.
+func (f *Fleet) peers(n *node) []string {
+	var list []string
 	for _, other := range f.nodes {
-		if other != n && len(addresses) < seedCount {
-			addresses = append(addresses, other.fleet)
+		if other.isEntry() && other != n {
+			list = append(list, other.fleet)
 		}
 	}
-	return addresses
+	return list
 }
 
 // naiveOf returns the mechanisms that one process is to switch off. They are named
