Give light partners the last free streams

Cause: a greedy partner's resends took each freed stream before the others came. Ruled out: buckets alone; a partner's Poisson arrivals at one of three entries waste a small bucket. Partners above the fair level use their share up to 0.97 and go beyond it up to 0.90 of the streams.

--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	defaultBurst     = 2 * time.Second
-	defaultThreshold = 0.95
-	demandWindow     = 2 * time.Second
-	levelInterval    = 250 * time.Millisecond
-	idleAfter        = 10 * time.Second
-	retryJitter      = 0.5
+	defaultBurst  = 2 * time.Second
+	defaultShared = 0.97
+	defaultBeyond = 0.90
+	demandWindow  = 4 * time.Second
+	levelInterval = 250 * time.Millisecond
+	idleAfter     = 10 * time.Second
+	retryJitter   = 0.5
 )
 
 type (
@@ -28,15 +29,16 @@
 	// system is loaded, and only partners that ask for more than the fair level, so that
 	// what light partners leave goes to the others. It is safe for concurrent use.
 	Limiter struct {
-		mu        sync.Mutex
-		random    *rand.Rand
-		burst     time.Duration
-		threshold float64
-		rate      float64
-		pressure  float64
-		level     float64
-		levelled  time.Time
-		partners  map[string]*partner
+		mu       sync.Mutex
+		random   *rand.Rand
+		burst    time.Duration
+		shared   float64
+		beyond   float64
+		rate     float64
+		pressure float64
+		level    float64
+		levelled time.Time
+		partners map[string]*partner
 	}
 
 	partner struct {
@@ -50,7 +52,7 @@
 
 // NewLimiter returns a limiter that draws its jitter from random.
 func NewLimiter(random *rand.Rand, opts ...Option) *Limiter {
-	l := &Limiter{random: random, burst: defaultBurst, threshold: defaultThreshold, partners: make(map[string]*partner)}
+	l := &Limiter{random: random, burst: defaultBurst, shared: defaultShared, beyond: defaultBeyond, partners: make(map[string]*partner)}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -62,9 +64,15 @@
 	return func(l *Limiter) { l.burst = burst }
 }
 
-// WithThreshold sets the pressure from which shares are enforced.
-func WithThreshold(pressure float64) Option {
-	return func(l *Limiter) { l.threshold = pressure }
+// WithShared sets the pressure up to which partners above the fair level use their
+// share. What is left above it is for the others.
+func WithShared(pressure float64) Option {
+	return func(l *Limiter) { l.shared = pressure }
+}
+
+// WithBeyond sets the pressure up to which partners may go beyond their share.
+func WithBeyond(pressure float64) Option {
+	return func(l *Limiter) { l.beyond = pressure }
 }
 
 // SetRate sets the predicted tokens a second that the whole system carries.
@@ -111,15 +119,15 @@
 	if first {
 		p.demand += tokens / demandWindow.Seconds()
 	}
-	if l.pressure < l.threshold || l.rate == 0 || p.demand <= share {
+	if l.rate == 0 || l.pressure < l.beyond || p.demand <= share {
 		p.bucket = max(0, p.bucket-tokens)
 		return nil
 	}
-	if p.bucket >= tokens {
+	if l.pressure < l.shared && p.bucket >= tokens {
 		p.bucket -= tokens
 		return nil
 	}
-	wait := time.Duration((tokens - p.bucket) / share * float64(time.Second))
+	wait := time.Duration(max(tokens-p.bucket, tokens/2) / share * float64(time.Second))
 	wait += time.Duration(l.random.Float64() * retryJitter * float64(wait))
 	return refusal.New(refusal.RanNo, refusal.PartnerShare, wait, "beyond the partner's share under load")
 }
