--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
+# POLICIES are the ways to decide that bench-policy compares, joined by commas.
+POLICIES ?= all
+
 .PHONY: build demo test format lint vet race scenarios bench-policy bench-capacity generate tools known-red
 
 build:
@@ -36,7 +39,7 @@
 	go test -race -count=1 -timeout 15m ./scenario/...
 
 bench-policy:
-	go run ./router/cmd/bench-policy
+	cd router/bench && go test -count=1 -cpu 3 -parallel 3 -run '^TestPolicies$$' -policies $(POLICIES) .
 
 bench-capacity:
 	go test -run '^$$' -bench . -benchmem ./router/... ./scenario/...
--- a/router/admission/gate.go
+++ b/router/admission/gate.go
@@ -79,7 +79,12 @@
 
 // Shed returns the refusal of a request that may come back after drain.
 func (g *Gate) Shed(drain time.Duration) *refusal.Refusal {
-	return refusal.New(refusal.RanNo, refusal.Overloaded, g.RetryAfter(drain), "the first token would be late")
+	return &refusal.Refusal{
+		Ran:        refusal.RanNo,
+		Reason:     refusal.Overloaded,
+		RetryAfter: g.RetryAfter(drain),
+		Message:    "the first token would be late",
+	}
 }
 
 // RetryAfter adds jitter to a predicted drain.
--- a/router/bench/caller.go
+++ b/router/bench/caller.go
@@ -8,6 +8,8 @@
 func (w *world) send(r *request) {
 	r.first = w.clock.now
 	r.asking = r.first
+	r.again = func() { r.keeper.arrive(r) }
+	r.refused = func() { w.refused(r) }
 	w.try(r)
 	w.clock.after(resendAfter, func() { w.overdue(r) })
 	if w.scene.faults && w.random.Float64() < cancelFraction {
@@ -43,7 +45,9 @@
 		return
 	}
 	r.refusals++
-	w.tally.refused(w.clock)
+	if w.measuring() {
+		w.tally.refused()
+	}
 	if r.received > 0 && r.lastToken.After(r.asking) {
 		r.asking = w.clock.now
 	}
@@ -52,11 +56,7 @@
 		return
 	}
 	r.lastSent = w.clock.now.Add(clientDelay + hopDelay)
-	w.clock.after(2*(clientDelay+hopDelay), func() {
-		if !r.over {
-			r.keeper.arrive(r)
-		}
-	})
+	w.clock.afterTick(2*(clientDelay+hopDelay), resendTick, r.again)
 }
 
 // giveUp cancels a request.
--- a/router/bench/clock.go
+++ b/router/bench/clock.go
@@ -3,7 +3,6 @@
 package bench
 
 import (
-	"container/heap"
 	"time"
 )
 
@@ -13,17 +12,16 @@
 	clock struct {
 		start  time.Time
 		now    time.Time
-		events events
+		passed time.Duration
+		events []timedEvent
 		count  uint64
 	}
 
 	timedEvent struct {
-		at    time.Time
+		at    time.Duration
 		order uint64
 		run   func()
 	}
-
-	events []timedEvent
 )
 
 func newClock() *clock {
@@ -33,53 +31,66 @@
 
 // after runs an event once d has passed.
 func (c *clock) after(d time.Duration, run func()) {
-	c.count++
-	heap.Push(&c.events, timedEvent{at: c.now.Add(max(0, d)), order: c.count, run: run})
+	c.push(c.passed+max(0, d), run)
+}
+
+// afterTick runs an event once d has passed, at the next whole tick.
+func (c *clock) afterTick(d, tick time.Duration, run func()) {
+	c.push((c.passed + d + tick - 1).Truncate(tick), run)
 }
 
 // runUntil runs all events up to a time since the start.
 func (c *clock) runUntil(end time.Duration) {
-	last := c.start.Add(end)
-	for len(c.events) > 0 {
-		next := heap.Pop(&c.events).(timedEvent)
-		if next.at.After(last) {
-			return
-		}
-		if wait := next.at.Sub(c.now); wait > 0 {
+	for len(c.events) > 0 && c.events[0].at <= end {
+		next := c.pop()
+		if wait := next.at - c.passed; wait > 0 {
 			time.Sleep(wait)
 			c.now = time.Now()
+			c.passed = c.now.Sub(c.start)
 		}
 		next.run()
 	}
 }
 
-// elapsed is the time since the start.
-func (c *clock) elapsed() time.Duration {
-	return c.now.Sub(c.start)
+func (e timedEvent) before(f timedEvent) bool {
+	if e.at == f.at {
+		return e.order < f.order
+	}
+	return e.at < f.at
 }
 
-// Len returns the number of events.
-func (e events) Len() int { return len(e) }
-
-// Less orders events by time, then by their creation.
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
+// push adds an event to the binary heap.
+func (c *clock) push(at time.Duration, run func()) {
+	c.count++
+	c.events = append(c.events, timedEvent{at: at, order: c.count, run: run})
+	for i := len(c.events) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !c.events[i].before(c.events[parent]) {
+			return
+		}
+		c.events[i], c.events[parent] = c.events[parent], c.events[i]
+		i = parent
 	}
-	return e[i].at.Before(e[j].at)
 }
 
-// Swap exchanges two events.
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event.
-func (e *events) Push(x any) { *e = append(*e, x.(timedEvent)) }
-
-// Pop removes the last event.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	old[len(old)-1] = timedEvent{}
-	*e = old[:len(old)-1]
-	return last
+// pop removes the first event from the binary heap.
+func (c *clock) pop() timedEvent {
+	first := c.events[0]
+	last := len(c.events) - 1
+	c.events[0] = c.events[last]
+	c.events[last] = timedEvent{}
+	c.events = c.events[:last]
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < last; child++ {
+			if c.events[child].before(c.events[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return first
+		}
+		c.events[i], c.events[least] = c.events[least], c.events[i]
+		i = least
+	}
 }
--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -111,6 +111,7 @@
 
 func (k *keeper) arriveNaive(r *request) {
 	a := k.attempt(r)
+	k.begin(a)
 	a.choice, _ = k.prefills.Choose(a.prompt, k.world.prefillNames, k.world.clock.now)
 	a.source = k.world.prefills[a.choice.Upstream]
 	k.world.clock.after(hopDelay, func() { a.source.push(a) })
@@ -118,19 +119,32 @@
 
 // attempt starts a try, with the tokens that the caller already has as part of the prompt.
 func (k *keeper) attempt(r *request) *attempt {
-	k.attempts++
-	a := &attempt{id: fmt.Sprintf("%s/%d", k.name, k.attempts), request: r, prompt: r.size.prompt}
+	a := &attempt{request: r, prompt: r.size.prompt}
 	if !k.world.policy.naive {
 		a.prompt.Tokens += r.received
 	}
-	r.attempts = append(slices.DeleteFunc(r.attempts, func(b *attempt) bool { return b.ended }), a)
 	return a
 }
 
+// begin makes an admitted attempt known. It counts as pending until it has decode memory or ends.
+func (k *keeper) begin(a *attempt) {
+	k.attempts++
+	a.id = fmt.Sprintf("%s/%d", k.name, k.attempts)
+	r := a.request
+	r.attempts = append(slices.DeleteFunc(r.attempts, func(b *attempt) bool { return b.ended }), a)
+	a.pending = true
+	k.pending++
+}
+
 // admit chooses the prefill upstream of an attempt that is predicted to be in time, or
 // that is late but displaces nobody.
 func (k *keeper) admit(a *attempt) bool {
 	now := k.world.clock.now
+	spare := k.spare()
+	if !spare && now.After(a.deadline) {
+		k.world.tally.shed("late")
+		return false
+	}
 	wait := k.decodes.Wait(k.pending*entries, k.world.decodeNames, now)
 	forecast := admission.Forecast{
 		QueueDelay: wait,
@@ -138,7 +152,6 @@
 		FirstStep:  firstStep,
 		Deadline:   a.deadline,
 	}
-	spare := k.spare(wait)
 	if !spare && k.gate.Admit(forecast, now) != nil {
 		k.world.tally.shed("decode")
 		return false
@@ -164,9 +177,9 @@
 }
 
 // spare tells whether late work displaces nobody.
-func (k *keeper) spare(wait time.Duration) bool {
+func (k *keeper) spare() bool {
 	running, limit := k.decodes.Load(k.world.decodeNames)
-	return wait == 0 && float64(running+k.pending*entries) <= spareFraction*float64(limit)
+	return float64(running+k.pending*entries) <= spareFraction*float64(limit)
 }
 
 // reserve asks the roomiest decode server for memory.
@@ -219,12 +232,6 @@
 	return now.Add(left + time.Duration(a.uncached())*prefillTokenCost).After(a.deadline)
 }
 
-// begin counts an admitted attempt until it has decode memory or ends.
-func (k *keeper) begin(a *attempt) {
-	a.pending = true
-	k.pending++
-}
-
 func (k *keeper) settled(a *attempt) {
 	if a.pending {
 		a.pending = false
@@ -309,7 +316,7 @@
 		return
 	}
 	k.end(a)
-	k.world.clock.after(delay+clientDelay+hopDelay, func() { k.world.refused(a.request) })
+	k.world.clock.after(delay+clientDelay+hopDelay, a.request.refused)
 }
 
 // end gives up an attempt and all that it holds.
@@ -318,11 +325,11 @@
 		return
 	}
 	a.ended = true
-	k.settled(a)
-	k.waiting = without(k.waiting, a)
-	if a.source == nil {
+	if a.id == "" {
 		return
 	}
+	k.settled(a)
+	k.waiting = without(k.waiting, a)
 	k.world.clock.after(hopDelay, func() {
 		a.source.drop(a)
 		if a.dest != nil {
--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -162,7 +162,7 @@
 
 // move queues the transfer of an attempt's KV cache.
 func (s *prefillServer) move(a *attempt) {
-	if a.ended {
+	if a.ended || a.dest == nil || s.moving[a.id] == a {
 		return
 	}
 	deadline := a.deadline
@@ -190,6 +190,10 @@
 	path := a.path
 	if s.world.scene.faults && s.world.random.Float64() < transferStalls {
 		s.world.clock.after(s.world.stallBound(), func() { s.stalled(a, path) })
+		if s.world.policy.naive {
+			s.link.Remove(a.id)
+			s.pumpLink()
+		}
 		return
 	}
 	took := transferTime(a.prompt.Tokens)
@@ -233,6 +237,7 @@
 func (s *prefillServer) stop(a *attempt) {
 	if s.moving[a.id] == a {
 		delete(s.moving, a.id)
+		a.path++
 		s.link.Remove(a.id)
 		s.pumpLink()
 	}
--- a/router/bench/request.go
+++ b/router/bench/request.go
@@ -28,7 +28,10 @@
 		over       bool
 		answers    int
 		refusals   int
-		attempts   []*attempt
+		// again and refused are events that recur.
+		again    func()
+		refused  func()
+		attempts []*attempt
 		// streamer is the attempt whose tokens reach the caller.
 		streamer *attempt
 	}
--- a/router/bench/tally.go
+++ b/router/bench/tally.go
@@ -71,10 +71,8 @@
 	}
 }
 
-func (t *tally) refused(c *clock) {
-	if c.elapsed() >= warmUp && c.elapsed() < warmUp+measured {
-		t.refusals++
-	}
+func (t *tally) refused() {
+	t.refusals++
 }
 
 func (t *tally) shed(reason string) {
@@ -131,7 +129,7 @@
 		}
 	}
 	for _, rate := range []*float64{&r.Offered, &r.Goodput, &r.Others} {
-		*rate /= measured.Seconds()
+		*rate /= (w.end - warmUp).Seconds()
 	}
 	if w.tally.prefill > 0 {
 		r.Wasted = float64(w.tally.wasted) / float64(w.tally.prefill)
@@ -148,7 +146,7 @@
 	if !w.scene.storm {
 		return false
 	}
-	for at := stormStart; at+stormLength < warmUp+measured; at += stormEvery {
+	for at := stormStart; at+stormLength < w.end; at += stormEvery {
 		since := q.first.Sub(w.clock.start) - at - stormLength
 		if since >= recoveryBound && since < recoveryBound+recoveryWindow {
 			return true
--- a/router/bench/workload.go
+++ b/router/bench/workload.go
@@ -37,21 +37,23 @@
 	cacheEventLoss       = 0.05
 	partners             = 24
 	entries              = 3
-	warmUp               = 20 * time.Second
-	measured             = 120 * time.Second
-	drain                = 45 * time.Second
-	clientDelay          = 3 * time.Millisecond
-	hopDelay             = 500 * time.Microsecond
-	resendAfter          = time.Second
-	patience             = 3 * time.Second
-	firstTokenTarget     = 380 * time.Millisecond
-	betweenTokensTarget  = 37 * time.Millisecond
-	lateGapFraction      = 0.05
-	cancelFraction       = 0.10
-	cancelWithin         = time.Second
-	transferStalls       = 0.05
-	drawn                = 20_000
-	microsecondsPerS     = 1e6
+	// Measured is the usual time that is measured.
+	Measured            = 120 * time.Second
+	warmUp              = 20 * time.Second
+	drain               = 45 * time.Second
+	clientDelay         = 3 * time.Millisecond
+	hopDelay            = 500 * time.Microsecond
+	resendAfter         = time.Second
+	resendTick          = time.Millisecond
+	patience            = 3 * time.Second
+	firstTokenTarget    = 380 * time.Millisecond
+	betweenTokensTarget = 37 * time.Millisecond
+	lateGapFraction     = 0.05
+	cancelFraction      = 0.10
+	cancelWithin        = time.Second
+	transferStalls      = 0.05
+	drawn               = 20_000
+	microsecondsPerS    = 1e6
 )
 
 type (
--- a/router/bench/world.go
+++ b/router/bench/world.go
@@ -18,7 +18,9 @@
 type (
 	// world is one run of a case under a policy.
 	world struct {
-		clock        *clock
+		clock *clock
+		// end is when the measured time ends.
+		end          time.Duration
 		random       *rand.Rand
 		policy       Policy
 		scene        Case
@@ -34,16 +36,17 @@
 	}
 )
 
-// Run runs a case under a policy with a seed, and returns what was measured. It waits
-// on the runtime's clock, so it belongs into a synctest bubble.
-func Run(scene Case, policy Policy, seed uint64) Result {
+// Run runs a case under a policy with a seed, and returns what was measured for a time
+// after the warm-up. It waits on the runtime's clock, so it belongs into a synctest bubble.
+func Run(scene Case, policy Policy, seed uint64, measured time.Duration) Result {
 	w := newWorld(scene, policy, seed)
+	w.end = warmUp + measured
 	w.arrivals(seed)
 	w.reports()
 	w.checks()
 	w.scheduleStorms()
 	w.scheduleLosses()
-	w.clock.runUntil(warmUp + measured + drain)
+	w.clock.runUntil(w.end + drain)
 	return w.result(seed)
 }
 
@@ -105,24 +108,29 @@
 		return
 	}
 	name := fmt.Sprintf("partner-%02d", i)
-	random := source(seed, name)
-	at := time.Duration(0)
-	for n := 0; ; n++ {
-		at += time.Duration(random.ExpFloat64() / (load * w.capacity) * float64(time.Second))
-		if at > warmUp+measured+arrivalsAfter {
+	w.next(name, load*w.capacity, source(seed, name), 0)
+}
+
+// next schedules the next arrival of a partner, n before it.
+func (w *world) next(partner string, rate float64, random *rand.Rand, n int) {
+	wait := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+	w.clock.after(wait, func() {
+		at := w.clock.passed
+		if at > w.end+arrivalsAfter {
 			return
 		}
-		key := fmt.Sprintf("%s/%d", name, n)
+		key := fmt.Sprintf("%s/%d", partner, n)
 		r := &request{
 			key:      key,
-			partner:  name,
+			partner:  partner,
 			size:     w.sizes[random.IntN(len(w.sizes))],
 			keeper:   w.keepers[rendezvous.Score("keeper", key)%entries],
-			measured: at >= warmUp && at < warmUp+measured,
+			measured: at >= warmUp && at < w.end,
 		}
 		w.requests = append(w.requests, r)
-		w.clock.after(at, func() { w.send(r) })
-	}
+		w.send(r)
+		w.next(partner, rate, random, n+1)
+	})
 }
 
 // reports sends each server's load to all keepers, late.
@@ -170,7 +178,7 @@
 	if !w.scene.storm {
 		return
 	}
-	for at := stormStart; at+stormLength < warmUp+measured; at += stormEvery {
+	for at := stormStart; at+stormLength < w.end; at += stormEvery {
 		w.clock.after(at, func() {
 			for _, name := range w.decodeNames[:stormServers] {
 				w.decodes[name].stalled = w.clock.now.Add(stormLength)
@@ -183,7 +191,7 @@
 	if !w.scene.faults {
 		return
 	}
-	for at := lossEvery; at < warmUp+measured; at += lossEvery {
+	for at := lossEvery; at < w.end; at += lossEvery {
 		s := w.decodes[w.decodeNames[w.random.IntN(decodeServers)]]
 		w.clock.after(at, s.lose)
 		w.clock.after(at+lossLength, s.reset)
@@ -211,6 +219,6 @@
 }
 
 func (w *world) measuring() bool {
-	t := w.clock.elapsed()
-	return t >= warmUp && t < warmUp+measured
+	t := w.clock.passed
+	return t >= warmUp && t < w.end
 }
--- a/router/decode/chooser.go
+++ b/router/decode/chooser.go
@@ -43,6 +43,8 @@
 		hinted bool
 		// recent are the chooser's own choices, which a late hint does not count.
 		recent []change
+		// taken sums them up.
+		taken change
 	}
 
 	change struct {
@@ -76,7 +78,7 @@
 	}
 	u.hint = h
 	u.hinted = true
-	u.recent = slices.DeleteFunc(u.recent, func(made change) bool { return !made.at.After(h.At) })
+	u.forget(h.At)
 }
 
 // Release counts a stream of the chooser's own that ended, before any hint tells so.
@@ -122,9 +124,8 @@
 	defer c.mu.Unlock()
 	for _, name := range candidates {
 		u := c.upstream(name)
-		_, streams := u.taken()
 		if u.hint.Accepting {
-			running += u.hint.Running + streams
+			running += u.hint.Running + u.taken.streams
 			limit += u.hint.Limit
 		}
 	}
@@ -183,18 +184,21 @@
 
 func (u *upstream) add(made change) {
 	if len(u.recent) == recentChoices {
-		u.recent = slices.Delete(u.recent, 0, 1)
+		u.forget(u.recent[0].at)
 	}
 	u.recent = append(u.recent, made)
+	u.taken.pieces += made.pieces
+	u.taken.streams += made.streams
 }
 
-// taken sums up the chooser's own changes since the hint.
-func (u *upstream) taken() (pieces, streams int) {
+// forget drops the changes up to a time, which the hint counts.
+func (u *upstream) forget(until time.Time) {
+	u.recent = slices.DeleteFunc(u.recent, func(made change) bool { return !made.at.After(until) })
+	u.taken = change{}
 	for _, made := range u.recent {
-		pieces += made.pieces
-		streams += made.streams
+		u.taken.pieces += made.pieces
+		u.taken.streams += made.streams
 	}
-	return pieces, streams
 }
 
 // fits tells whether the hint leaves room. An engine without a hint is worth a try.
@@ -202,8 +206,7 @@
 	if !u.hinted {
 		return true
 	}
-	taken, _ := u.taken()
-	if !u.hint.Accepting || u.hint.FreePieces-taken < pieces {
+	if !u.hint.Accepting || u.hint.FreePieces-u.taken.pieces < pieces {
 		return false
 	}
 	return u.hint.Limit == 0 || u.room(life, now) >= minRoom
@@ -212,14 +215,13 @@
 // room is the expected number of free streams. A hint loses weight with age: of the
 // streams that it counts, some have ended since.
 func (u *upstream) room(life time.Duration, now time.Time) float64 {
-	taken, streams := u.taken()
 	if !u.hinted {
-		return -float64(streams)
+		return -float64(u.taken.streams)
 	}
 	if u.hint.Limit == 0 {
-		return float64(u.hint.FreePieces - taken)
+		return float64(u.hint.FreePieces - u.taken.pieces)
 	}
 	age := max(0, now.Sub(u.hint.At))
 	ended := float64(u.hint.Running) * min(1, float64(age)/float64(life))
-	return float64(u.hint.Limit-u.hint.Running-streams) + ended
+	return float64(u.hint.Limit-u.hint.Running-u.taken.streams) + ended
 }
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -129,7 +129,12 @@
 	}
 	wait := time.Duration(max(tokens-p.bucket, tokens/2) / share * float64(time.Second))
 	wait += time.Duration(l.random.Float64() * retryJitter * float64(wait))
-	return refusal.New(refusal.RanNo, refusal.PartnerShare, wait, "beyond the partner's share under load")
+	return &refusal.Refusal{
+		Ran:        refusal.RanNo,
+		Reason:     refusal.PartnerShare,
+		RetryAfter: wait,
+		Message:    "beyond the partner's share under load",
+	}
 }
 
 func (l *Limiter) partner(name string, weight float64, now time.Time) *partner {
