--- a/router/bench/bench_test.go
+++ b/router/bench/bench_test.go
@@ -23,6 +23,7 @@
 )
 
 var (
+	onlyCase = flag.String("cases", "", "the cases to run, joined by commas")
 	policies = flag.String("policies", "", "the policies to run, joined by commas, or all")
 	seeds    = flag.Int("seeds", 5, "number of seeds")
 	shed     = flag.Bool("shed", false, "print where attempts were shed")
@@ -39,6 +40,9 @@
 	t.Run("runs", func(t *testing.T) {
 		for seed := 1; seed <= *seeds; seed++ {
 			for _, scene := range bench.Cases() {
+				if *onlyCase != "" && !slices.Contains(strings.Split(*onlyCase, ","), scene.Name) {
+					continue
+				}
 				for _, policy := range bench.Policies() {
 					if *policies != "all" && !slices.Contains(chosen, policy.Name) {
 						continue
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -14,7 +14,7 @@
 const (
 	defaultBurst  = 2 * time.Second
 	defaultShared = 0.97
-	defaultBeyond = 0.90
+	defaultBeyond = 0.94
 	demandWindow  = 4 * time.Second
 	levelInterval = 250 * time.Millisecond
 	idleAfter     = 10 * time.Second
