Plan the transfer of the whole prompt in the prefill queue

Cause: the queue planned the transfer of the uncached tokens only, though the whole KV cache is moved.

--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -222,14 +222,13 @@
 // tooLate tells whether an attempt that waits for memory can't make it any more.
 func (k *keeper) tooLate(a *attempt) bool {
 	now := k.world.clock.now
-	left := afterPrefill(a.prompt.Tokens)
 	if !a.kvExpires.IsZero() {
 		return now.Add(transferTime(a.prompt.Tokens)).After(a.kvExpires)
 	}
 	if k.world.policy.naive {
 		return false
 	}
-	return now.Add(left + time.Duration(a.uncached())*prefillTokenCost).After(a.deadline)
+	return now.After(a.latestStart())
 }
 
 func (k *keeper) settled(a *attempt) {
--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -69,7 +69,13 @@
 		return
 	}
 	refused := s.queue.Push(prefill.Item{
-		Attempt: a.id, Partner: a.request.partner, Tokens: a.uncached(), Arrived: now, Deadline: a.deadline, Late: a.late,
+		Attempt:      a.id,
+		Partner:      a.request.partner,
+		Tokens:       a.uncached(),
+		PromptTokens: a.prompt.Tokens,
+		Arrived:      now,
+		Deadline:     a.deadline,
+		Late:         a.late,
 	}, now)
 	a.request.keeper.observePrefill(s.hint())
 	if refused != nil {
--- a/router/bench/request.go
+++ b/router/bench/request.go
@@ -66,6 +66,11 @@
 	return a.prompt.Tokens - a.choice.CachedTokens
 }
 
+// latestStart is when the prefill must start to be in time.
+func (a *attempt) latestStart() time.Time {
+	return a.deadline.Add(-afterPrefill(a.prompt.Tokens) - time.Duration(a.uncached())*prefillTokenCost)
+}
+
 // bytes is the size of the KV cache.
 func (a *attempt) bytes() int64 {
 	return int64(a.prompt.Tokens) * kvBytesPerToken
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -22,9 +22,10 @@
 	Item struct {
 		Attempt string
 		Partner string
-		// Tokens are the tokens expected to be uncached.
-		Tokens  int
-		Arrived time.Time
+		// Tokens are the tokens expected to be uncached, PromptTokens all of the prompt.
+		Tokens       int
+		PromptTokens int
+		Arrived      time.Time
 		// Deadline is when the first token is due.
 		Deadline time.Time
 		// Late items missed the target already. They run only when no other item waits.
@@ -100,7 +101,7 @@
 	forecast := admission.Forecast{
 		QueueDelay: q.delay(now),
 		Prefill:    q.cost(it),
-		FirstStep:  q.after(it.Tokens),
+		FirstStep:  q.after(max(it.Tokens, it.PromptTokens)),
 		Deadline:   it.Deadline,
 	}
 	if len(q.waiting) >= q.maxItems {
@@ -198,7 +199,7 @@
 }
 
 func (q *Queue) latestStart(it Item) time.Time {
-	return it.Deadline.Add(-q.cost(it) - q.after(it.Tokens))
+	return it.Deadline.Add(-q.cost(it) - q.after(max(it.Tokens, it.PromptTokens)))
 }
 
 func (q *Queue) before(a, b Item) bool {
