--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -69,7 +69,13 @@
 		return
 	}
 	refused := s.queue.Push(prefill.Item{
-		Attempt: a.id, Partner: a.request.partner, Tokens: a.uncached(), Arrived: now, Deadline: a.deadline, Late: a.late,
+		Attempt:      a.id,
+		Partner:      a.request.partner,
+		Tokens:       a.uncached(),
+		PromptTokens: a.prompt.Tokens,
+		Arrived:      now,
+		Deadline:     a.deadline,
+		Late:         a.late,
 	}, now)
 	a.request.keeper.observePrefill(s.hint())
 	if refused != nil {
@@ -162,7 +168,7 @@
 
 // move queues the transfer of an attempt's KV cache.
 func (s *prefillServer) move(a *attempt) {
-	if a.ended {
+	if a.ended || a.dest == nil || s.moving[a.id] == a {
 		return
 	}
 	deadline := a.deadline
@@ -190,6 +196,10 @@
 	path := a.path
 	if s.world.scene.faults && s.world.random.Float64() < transferStalls {
 		s.world.clock.after(s.world.stallBound(), func() { s.stalled(a, path) })
+		if s.world.policy.naive {
+			s.link.Remove(a.id)
+			s.pumpLink()
+		}
 		return
 	}
 	took := transferTime(a.prompt.Tokens)
@@ -233,6 +243,7 @@
 func (s *prefillServer) stop(a *attempt) {
 	if s.moving[a.id] == a {
 		delete(s.moving, a.id)
+		a.path++
 		s.link.Remove(a.id)
 		s.pumpLink()
 	}
