--- a/Makefile
+++ b/Makefile
@@ -44,8 +44,8 @@
 bench-policy:
 	cd router/bench && go test -count=1 -cpu 3 -parallel 3 -run '^TestPolicies$$' -policies $(POLICIES) .
 
-bench-capacity:
-	go run ./scenario/cmd/bench-capacity
+bench-capacity: build
+	go run ./scenario/cmd/bench-capacity --bin bin
 
 generate:
 	./generate.sh
--- a/scenario/capacity/capacity_test.go
+++ b/scenario/capacity/capacity_test.go
@@ -9,7 +9,7 @@
 // TestMeasures checks that each measure gives a plausible figure; the figures
 // themselves depend on the machine.
 func TestMeasures(t *testing.T) {
-	for _, measure := range All() {
+	for _, measure := range InProcess() {
 		is := is.New(t)
 		slopes, err := measure()
 		is.NoErr(err)
--- a/scenario/capacity/slope.go
+++ b/scenario/capacity/slope.go
@@ -20,6 +20,8 @@
 		CPUNanoseconds float64
 		// WireBytes is what one item sends and receives over TCP.
 		WireBytes float64
+		// Elapsed is the time that one item takes, where that matters.
+		Elapsed time.Duration
 	}
 
 	// Measure takes one or more slopes.
@@ -34,12 +36,14 @@
 
 // Header is the head of the table that String lines belong to.
 func Header() string {
-	return fmt.Sprintf("%-44s %9s %12s %12s %12s", "item", "measured", "memory_bytes", "cpu_ns", "wire_bytes")
+	return fmt.Sprintf("%-48s %9s %12s %12s %10s %10s",
+		"item", "measured", "memory_bytes", "cpu_ns", "wire_bytes", "elapsed_ms")
 }
 
 // String returns one line of a table.
 func (s Slope) String() string {
-	return fmt.Sprintf("%-44s %9d %12.0f %12.0f %12.0f", s.Name, s.Items, s.MemoryBytes, s.CPUNanoseconds, s.WireBytes)
+	return fmt.Sprintf("%-48s %9d %12.0f %12.0f %10.0f %10d",
+		s.Name, s.Items, s.MemoryBytes, s.CPUNanoseconds, s.WireBytes, s.Elapsed.Milliseconds())
 }
 
 // newMeter collects garbage and notes what is left.
--- a/scenario/cmd/bench-capacity/main.go
+++ b/scenario/cmd/bench-capacity/main.go
@@ -13,7 +13,9 @@
 )
 
 type (
-	command struct{}
+	command struct {
+		Bin string `help:"Directory of the built programs." default:"bin" type:"existingdir"`
+	}
 )
 
 func main() {
@@ -25,10 +27,10 @@
 	}
 }
 
-func (*command) run() error {
+func (c *command) run() error {
 	fmt.Printf("%s, %s, %d processors\n", runtime.Version(), runtime.GOARCH, runtime.NumCPU())
 	fmt.Println(capacity.Header())
-	for _, measure := range capacity.All() {
+	for _, measure := range capacity.All(c.Bin) {
 		slopes, err := measure()
 		if err != nil {
 			return err
--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -70,6 +70,16 @@
 	return p.run != nil
 }
 
+// ID returns the process's number, or 0.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil {
+		return 0
+	}
+	return p.run.Process.Pid
+}
+
 // Starts returns how often the process was started.
 func (p *Process) Starts() int {
 	p.mu.Lock()
