--- a/scenario/expect_test.go
+++ b/scenario/expect_test.go
@@ -30,7 +30,7 @@
 
 // cmdExpect waits until conditions hold, or checks that they keep holding:
 //
-//	expect answer|answers|state|vars|stats|streams|runs NAME PATH=VALUE... [within=DURATION | for=DURATION]
+//	expect answer|answers|events|state|vars|stats|streams|runs NAME PATH=VALUE... [within=DURATION | for=DURATION]
 //	expect reads PATH=VALUE...
 func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
 	plain(ts, "expect", neg)
--- a/scenario/fleet/log.go
+++ b/scenario/fleet/log.go
@@ -91,6 +91,16 @@
 	return len(l.events)
 }
 
+func (l *logCollector) eventCounts() map[int]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make(map[int]int)
+	for _, e := range l.events {
+		counts[e.Number]++
+	}
+	return counts
+}
+
 func (l *logCollector) lastLines() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -139,6 +139,11 @@
 	return p.log.lastLines()
 }
 
+// Events returns how often each numbered event stands in the log.
+func (p *Process) Events() map[int]int {
+	return p.log.eventCounts()
+}
+
 // Faults returns the lines of the log that report a data race or a panic.
 func (p *Process) Faults() []string {
 	return p.log.faultLines()
--- a/scenario/stage_test.go
+++ b/scenario/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -85,10 +86,38 @@
 	if kind == "state" || kind == "vars" {
 		return s.operatorPages(name, "/debug/"+kind)
 	}
+	if kind == "events" {
+		return s.eventCounts(name)
+	}
 	d, err := s.document(kind, name)
 	return [][]byte{d}, err
 }
 
+// eventCounts returns the numbers of log events of processes.
+func (s *stage) eventCounts(name string) ([][]byte, error) {
+	var list [][]byte
+	for _, name := range s.names(name) {
+		p, err := s.fleet.Process(name)
+		if err != nil {
+			return nil, err
+		}
+		content, err := json.Marshal(p.Events())
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, content)
+	}
+	return list, nil
+}
+
+// names reads a list of processes; "all" are the entries and sidecars that run.
+func (s *stage) names(name string) []string {
+	if name == "all" {
+		return s.daemons()
+	}
+	return strings.Split(name, ",")
+}
+
 func (s *stage) document(kind, name string) ([]byte, error) {
 	switch kind {
 	case "answer":
@@ -106,12 +135,8 @@
 }
 
 func (s *stage) operatorPages(name, path string) ([][]byte, error) {
-	names := strings.Split(name, ",")
-	if name == "all" {
-		names = s.daemons()
-	}
 	var pages [][]byte
-	for _, name := range names {
+	for _, name := range s.names(name) {
 		address, err := s.fleet.OperatorAddress(name)
 		if err != nil {
 			return nil, err
