Count an answer as a duplicate only when it is no replay

The check stays as strict: two answers that are not marked as replays are a duplicate, and the services' own counts hold each key to one run.

--- a/standin/partner/outcome.go
+++ b/standin/partner/outcome.go
@@ -39,7 +39,7 @@
 	Trace struct {
 		Key   string
 		Tries int
-		// Answers counts whole answers; more than one is a duplicate.
+		// Answers counts whole answers that no record replayed; more than one is a duplicate.
 		Answers int
 		// Replayed counts answers that were kept from the one run.
 		Replayed int
