Order after a pause only by the newest revision, and try old refusals again

After its order a sidecar refused for one more tick; it does not now. Ruled out: trusting the time at which a process last heard something, as an answer may have waited in a socket during the pause; the sidecar asks the platform and two entries anew. Left: a pause between that check and the order's arrival; the engine is ordered right again after it.

--- /dev/null
+++ b/router/route/hint_test.go
@@ -0,0 +1,49 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/label"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/request"
+	"gooseberrypin.example/router/route"
+	"gooseberrypin.example/router/vm"
+)
+
+func TestOldHintsDoNotKeepWorkAway(t *testing.T) {
+	full := port.Load{Upstream: "u1", TotalPieces: 64, RunningLimit: 8, Accepting: true}
+	leaving := port.Load{Upstream: "u1", FreePieces: 64, TotalPieces: 64, RunningLimit: 8}
+	tests := map[string]struct {
+		load port.Load
+		age  time.Duration
+		want bool
+	}{
+		"refuses, fresh": {load: leaving, age: 100 * time.Millisecond},
+		"refuses, old":   {load: leaving, age: time.Second, want: true},
+		"full, fresh":    {load: full, age: 100 * time.Millisecond},
+		"full, old":      {load: full, age: time.Second, want: true},
+	}
+	index, err := configuration.NewIndex(&configuration.Configuration{
+		Revision:  1,
+		Upstreams: []configuration.Upstream{{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}}},
+		Pools:     []configuration.Pool{{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"}},
+		Rules:     []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}},
+	})
+	is.New(t).NoErr(err)
+	store := configuration.NewStore()
+	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			r := route.NewRouter(route.Self{Name: "entry"}, store, vm.NewTable(), rand.New(rand.NewPCG(1, 1)))
+			r.Observe(test.load, now)
+			_, why := r.Decode(&request.Generation{Model: "m"}, 10, false, nil, now.Add(test.age))
+			is.New(t).Equal(why == nil, test.want)
+		})
+	}
+}
--- a/router/route/route.go
+++ b/router/route/route.go
@@ -50,6 +50,8 @@
 		subsets map[string][]string
 		down    map[string]time.Time
 		loads   map[string]port.Load
+		// observed is when each load was true.
+		observed map[string]time.Time
 	}
 
 	// view is what the cached subsets were computed from.
@@ -62,15 +64,16 @@
 // NewRouter returns a router that draws from random.
 func NewRouter(self Self, store *configuration.Store, vms *vm.Table, random *rand.Rand) *Router {
 	return &Router{
-		self:    self,
-		store:   store,
-		vms:     vms,
-		prefill: prefill.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
-		decode:  decode.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
-		random:  rand.New(rand.NewPCG(random.Uint64(), random.Uint64())),
-		subsets: make(map[string][]string),
-		down:    make(map[string]time.Time),
-		loads:   make(map[string]port.Load),
+		self:     self,
+		store:    store,
+		vms:      vms,
+		prefill:  prefill.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
+		decode:   decode.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
+		random:   rand.New(rand.NewPCG(random.Uint64(), random.Uint64())),
+		subsets:  make(map[string][]string),
+		down:     make(map[string]time.Time),
+		loads:    make(map[string]port.Load),
+		observed: make(map[string]time.Time),
 	}
 }
 
@@ -84,6 +87,7 @@
 	if len(candidates) == 0 {
 		return generation.Target{}, NoUpstream(rule.PrefillPool)
 	}
+	r.revive(candidates, now)
 	choice, found := r.prefill.Choose(prefill.NewPrompt(prompt), candidates, now)
 	if !found {
 		return generation.Target{}, overloaded(rule.PrefillPool)
@@ -101,6 +105,7 @@
 	if len(candidates) == 0 {
 		return generation.Target{}, NoUpstream(rule.DecodePool)
 	}
+	r.revive(candidates, now)
 	if suspect {
 		candidates = []string{r.quietest(candidates)}
 	}
@@ -126,6 +131,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.loads[l.Upstream] = l
+	r.observed[l.Upstream] = at
 }
 
 // Down keeps work from an upstream that can't be reached, for a short time.
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -54,6 +54,7 @@
 		suspects *quarantine.Table
 		log      event.Log
 		push     func()
+		confirm  func(context.Context) bool
 		naive    Naive
 
 		queue  *prefill.Queue
@@ -105,7 +106,8 @@
 		IgnoresSuspects bool
 		// IgnoresLeaving takes new work on a leaving upstream.
 		IgnoresLeaving bool
-		// OrdersAtOnce orders without finishing streams or waiting for a turn at the weight store.
+		// OrdersAtOnce orders without finishing streams, waiting for a turn at the weight store,
+		// or reading the revision again after a pause.
 		OrdersAtOnce bool
 	}
 
@@ -123,6 +125,7 @@
 		suspects:   quarantine.NewTable(),
 		log:        event.Discard(),
 		push:       func() {},
+		confirm:    func(context.Context) bool { return true },
 		memory:     decode.NewMemory(defaultPieces, defaultPieceTokens),
 		pace:       decode.NewPace(defaultBetweenTokens),
 		link:       transfer.NewLink(defaultLinkRate, transfer.WithTurns(transferTurns), transfer.WithStallAfter(stallAfter)),
@@ -157,6 +160,11 @@
 	return func(c *Controller) { c.push = push }
 }
 
+// WithConfirm is asked after a pause whether the configuration in force is the newest.
+func WithConfirm(confirm func(context.Context) bool) Option {
+	return func(c *Controller) { c.confirm = confirm }
+}
+
 // WithMemory sets the engine's pieces and their size.
 func WithMemory(pieces, pieceTokens int) Option {
 	return func(c *Controller) { c.memory = decode.NewMemory(pieces, pieceTokens) }
--- a/sidecar/engine/reconcile.go
+++ b/sidecar/engine/reconcile.go
@@ -14,13 +14,25 @@
 const (
 	reconcileInterval = 100 * time.Millisecond
 	orderTimeout      = 2 * time.Second
+	// orderPause is the delay of a tick after which the newest revision is read again.
+	orderPause = 500 * time.Millisecond
 )
 
-// reconcile orders the engine to be as the configuration says. Only this process orders it.
+// reconcile orders the engine to be as the configuration says. Only this process orders
+// it, and after a pause not before the newest revision is confirmed.
 func (c *Controller) reconcile(ctx context.Context) {
 	var counter int64
+	var last time.Time
+	confirmed := true
 	c.every(ctx, reconcileInterval, func() {
-		next, wanted := c.nextOrder(time.Now(), counter+1)
+		now := time.Now()
+		paused := !last.IsZero() && now.Sub(last) > orderPause
+		last = now
+		confirmed = c.naive.OrdersAtOnce || (confirmed && !paused) || c.confirm(ctx)
+		if !confirmed {
+			return
+		}
+		next, wanted := c.nextOrder(now, counter+1)
 		if !wanted {
 			return
 		}
@@ -97,7 +109,10 @@
 		c.log.Error(err, event.OrderFailed, "revision", next.Fencing[0], "role", next.Role)
 		return
 	}
-	c.count(func(n *Counters) { n.Orders++ })
 	c.log.Info(event.Ordered, "revision", next.Fencing[0], "role", next.Role, "models", next.Models)
 	c.probe(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counters.Orders++
+	c.reshaping = false
 }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -99,12 +99,7 @@
 
 // concerned returns the addresses of the processes that must know a suspect soon.
 func (c *Sidecar) concerned() []string {
-	var addresses []string
-	for _, v := range c.vms.Current().VMs {
-		if v.Role == vm.RoleEntry && v.FleetAddress != "" {
-			addresses = append(addresses, v.FleetAddress)
-		}
-	}
+	addresses := c.entries(maxConcerned)
 	s := c.store.Current()
 	if s == nil {
 		return addresses
@@ -118,3 +113,14 @@
 	}
 	return addresses
 }
+
+// entries returns the fleet addresses of up to n entries.
+func (c *Sidecar) entries(n int) []string {
+	var addresses []string
+	for _, v := range c.vms.Current().VMs {
+		if v.Role == vm.RoleEntry && v.FleetAddress != "" && len(addresses) < n {
+			addresses = append(addresses, v.FleetAddress)
+		}
+	}
+	return addresses
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -45,6 +45,7 @@
 		engine       port.Engine
 		platform     port.Platform
 		client       *http.Client
+		peers        port.Peers
 		keys         access.FleetKeys
 		store        *configuration.Store
 		vms          *vm.Table
@@ -114,7 +115,8 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, peer.NewClient(c.client), c.store, c.vms, c.fork(), log)
+	c.peers = peer.NewClient(c.client)
+	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, c.peers, c.store, c.vms, c.fork(), log)
 	c.upstream = c.newUpstream()
 	c.publishMetrics()
 	return c
@@ -248,6 +250,7 @@
 		engine.WithLog(c.log),
 		engine.WithSuspects(c.suspects),
 		engine.WithPush(c.pushSuspects),
+		engine.WithConfirm(c.confirm),
 		engine.WithNaive(c.settings.engineNaive()),
 	)}
 }
