--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -116,7 +116,8 @@
 		o(c)
 	}
 	c.peers = peer.NewClient(c.client)
-	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, c.peers, c.store, c.vms, c.fork(), log)
+	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, c.peers, c.store, c.vms, c.fork(), log,
+		subscription.WithSeeds(s.PeerAddresses...))
 	c.upstream = c.newUpstream()
 	c.publishMetrics()
 	return c
@@ -236,7 +237,12 @@
 func (c *Sidecar) newUpstream() upstream {
 	if c.settings.Kind == configuration.KindService {
 		naive := slices.Contains(c.settings.Naive, naiveBookings)
-		of := service.Settings{Upstream: c.settings.Upstream, VM: c.settings.VM, Naive: naive}
+		of := service.Settings{
+			Upstream:        c.settings.Upstream,
+			VM:              c.settings.VM,
+			UpstreamAddress: c.settings.UpstreamAddress,
+			Naive:           naive,
+		}
 		return plainService{bookings: service.New(of, c.store, c.vms, c.client, c.log)}
 	}
 	return modelEngine{claims: claim.NewTable(), controller: engine.NewController(
