--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -51,7 +51,7 @@
 		name:     name,
 		prefills: prefill.NewChooser(random, prefill.WithStrategy(w.policy.prefill)),
 		decodes:  decode.NewChooser(random, decode.WithStrategy(w.policy.decode)),
-		gate:     admission.NewGate(random),
+		gate:     admission.NewGate(random, admission.WithMargin(10*time.Millisecond)),
 		arrivals: admission.NewArrivals(),
 		limiter:  share.NewLimiter(random),
 		budget:   retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)),
--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -40,7 +40,7 @@
 	return &prefillServer{
 		world:  w,
 		name:   name,
-		queue:  prefill.NewQueue(prefill.WithGate(admission.NewGate(random)), prefill.WithAfter(afterPrefill)),
+		queue:  prefill.NewQueue(prefill.WithGate(admission.NewGate(random, admission.WithMargin(10*time.Millisecond))), prefill.WithAfter(afterPrefill)),
 		items:  make(map[string]*attempt),
 		cache:  newBlockCache(engineCacheBlocks),
 		link:   transfer.NewLink(linkBytesPerS, transfer.WithStallAfter(linkStallAfter)),
