Refuse connections to processes that do not run, also through links

Cause: a link accepted connections for a process that was stopped, so the entry could not see that it does not run (connection refused) and held a claim's home for merely silent: planned_stop red (home_unreachable) since claims need the word of a home that may run.

--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -41,6 +41,7 @@
 		processes     map[string]*Process
 		order         []string
 		links         map[string]*Link
+		linksTo       map[string][]*Link
 		reserved      map[string][]net.Listener
 		platform      string
 		platformAdmin string
@@ -65,6 +66,7 @@
 		byName:    make(map[string]*node),
 		processes: make(map[string]*Process),
 		links:     make(map[string]*Link),
+		linksTo:   make(map[string][]*Link),
 		reserved:  make(map[string][]net.Listener),
 	}
 	for _, o := range options {
@@ -80,6 +82,9 @@
 		f.Close()
 		return nil, err
 	}
+	for _, l := range f.links {
+		l.Refuse()
+	}
 	return f, nil
 }
 
@@ -141,6 +146,9 @@
 	if err := p.Start(); err != nil {
 		return err
 	}
+	if err := f.listenTo(name); err != nil {
+		return err
+	}
 	if name == PlatformName {
 		return f.publishAll()
 	}
@@ -212,6 +220,16 @@
 	return err
 }
 
+// listenTo lets the links to a process take connections.
+func (f *Fleet) listenTo(process string) error {
+	for _, l := range f.linksTo[process] {
+		if err := l.Listen(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // release frees the ports of a process, which are held until it starts.
 func (f *Fleet) release(process string) {
 	for _, l := range f.reserved[process] {
@@ -266,6 +284,11 @@
 		arguments: arguments,
 		ready:     ready,
 		log:       newLogCollector(file),
+		ended: func() {
+			for _, l := range f.linksTo[name] {
+				l.Refuse()
+			}
+		},
 	}
 	f.order = append(f.order, name)
 	return nil
--- a/scenario/fleet/link.go
+++ b/scenario/fleet/link.go
@@ -15,14 +15,15 @@
 type (
 	// Link forwards TCP connections from one process to another, and can be cut.
 	Link struct {
-		listener net.Listener
-		target   string
+		address string
+		target  string
 
-		mu    sync.Mutex
-		open  chan struct{}
-		conns map[net.Conn]bool
-		done  context.Context
-		end   context.CancelFunc
+		mu       sync.Mutex
+		listener net.Listener
+		open     chan struct{}
+		conns    map[net.Conn]bool
+		done     context.Context
+		end      context.CancelFunc
 	}
 )
 
@@ -32,17 +33,48 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "link")
 	}
-	l := &Link{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	l := &Link{
+		address:  listener.Addr().String(),
+		target:   target,
+		listener: listener,
+		conns:    make(map[net.Conn]bool),
+	}
 	l.done, l.end = context.WithCancel(context.Background())
 	l.open = make(chan struct{})
 	close(l.open)
-	go l.accept()
+	go l.accept(listener)
 	return l, nil
 }
 
+// Listen takes connections again after Refuse.
+func (l *Link) Listen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return eris.Wrap(err, "link")
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
+// Refuse refuses new connections, as the system does where no process listens.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		_ = l.listener.Close()
+		l.listener = nil
+	}
+}
+
 // Address returns the address that the dialling process uses.
 func (l *Link) Address() string {
-	return l.listener.Addr().String()
+	return l.address
 }
 
 // Cut holds back all bytes both ways, without a sign to either end.
@@ -79,13 +111,13 @@
 // Close ends the link.
 func (l *Link) Close() {
 	l.end()
-	_ = l.listener.Close()
+	l.Refuse()
 	l.Reset()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/scenario/fleet/link_test.go
+++ b/scenario/fleet/link_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,3 +79,20 @@
 	_, err = c.Read(make([]byte, 1))
 	is.True(err != nil) // the connection is closed
 }
+
+func TestLinkRefusesAndListensAgain(t *testing.T) {
+	is := is.New(t)
+	link, err := NewLink("127.0.0.1", newEcho(t))
+	is.NoErr(err)
+	defer link.Close()
+	link.Refuse()
+	_, err = net.Dial("tcp", link.Address())
+	is.True(errors.Is(err, syscall.ECONNREFUSED)) // nobody listens
+	is.NoErr(link.Listen())
+	c, err := net.Dial("tcp", link.Address())
+	is.NoErr(err)
+	_, _ = io.WriteString(c, "one\n")
+	line, err := bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "one\n") // the link forwards again
+}
--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -28,6 +28,8 @@
 		arguments []string
 		ready     int
 		log       *logCollector
+		// ended is called after each end of the process.
+		ended func()
 
 		mu     sync.Mutex
 		run    *exec.Cmd
@@ -174,6 +176,9 @@
 	p.run = nil
 	p.frozen = false
 	p.mu.Unlock()
+	if p.ended != nil {
+		p.ended()
+	}
 	close(exited)
 }
 
--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -101,6 +101,7 @@
 		return "", err
 	}
 	f.links[linkName(from, to)] = l
+	f.linksTo[to] = append(f.linksTo[to], l)
 	return l.Address(), nil
 }
 
