--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,24 +161,13 @@
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
 	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
-	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction),
-		generation.WithFirstToken(e.firstToken))
+	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
 		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
 		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive["peer_configuration"]))
 }
 
-// firstToken is the target that the operators set.
-func (e *Entry) firstToken() time.Duration {
-	const standard = 380 * time.Millisecond
-	s := e.store.Current()
-	if s == nil || s.Index.Configuration().Limits.FirstTokenMS <= 0 {
-		return standard
-	}
-	return time.Duration(s.Index.Configuration().Limits.FirstTokenMS) * time.Millisecond
-}
-
 // process describes this process to its peers.
 func (e *Entry) process() *fleetv1.Process {
 	return &fleetv1.Process{
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -9,6 +10,7 @@
 	fleetv1 "gooseberrypin.example/gen/fleet/v1"
 	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/generation"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/request"
@@ -100,9 +102,9 @@
 // start works on a new record in the background, until it ends or nobody reads it.
 func (e *Entry) start(r *request.Record, j joining) *refusal.Refusal {
 	keyDigest := r.Generation.KeyDigest()
-	if e.draining.Load() {
+	plan, why := e.admit(r, j)
+	if why != nil {
 		e.book.Remove(keyDigest, r)
-		why := refusal.New(refusal.RanNo, refusal.Leaving, drainingRetry, "this entry is leaving")
 		r.Fail(why)
 		return why
 	}
@@ -115,7 +117,7 @@
 	go func() {
 		defer e.work.Done()
 		defer cancel()
-		if why := e.claimAndRun(ctx, r, j); why != nil {
+		if why := e.claimAndRun(ctx, r, j, plan); why != nil {
 			r.Fail(why)
 		}
 		if !r.Whole() {
@@ -125,9 +127,19 @@
 	return nil
 }
 
+// admit refuses a new request before any work is done for it.
+func (e *Entry) admit(r *request.Record, j joining) (generation.Plan, *refusal.Refusal) {
+	if e.draining.Load() {
+		return nil, refusal.New(refusal.RanNo, refusal.Leaving, drainingRetry, "this entry is leaving")
+	}
+	prompt := r.Generation.Prompt + strings.Join(j.prefix, "")
+	return e.route.Admit(&r.Generation, prompt, nil, time.Now())
+}
+
 // claimAndRun claims the key at its homes, or joins the entry that has it.
-func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, j joining) *refusal.Refusal {
-	w := &keeping{entry: e, record: r, joining: j}
+func (e *Entry) claimAndRun(ctx context.Context, r *request.Record, j joining, p generation.Plan) *refusal.Refusal {
+	w := &keeping{entry: e, record: r, joining: j, plan: p}
+	defer w.endPlan()
 	for range claimRounds {
 		why, again := w.round(ctx)
 		if !again {
--- a/entry/keeping.go
+++ b/entry/keeping.go
@@ -17,6 +17,8 @@
 		entry   *Entry
 		record  *request.Record
 		joining joining
+		// plan is the admitted first try, until it is run.
+		plan generation.Plan
 		// unreachable is the keeper that could not be reached, if any.
 		unreachable string
 		// whole is set once the record has all tokens.
@@ -103,10 +105,25 @@
 		Fingerprint: fingerprint,
 		Attempt:     port.Attempt{KeyDigest: c.KeyDigest, Number: c.Number},
 		Keeper:      k.entry.id,
+		Plan:        k.takePlan(),
 		Suspect:     k.entry.crashes.suspected(fingerprint, time.Now()),
 	}
 }
 
+// takePlan returns the admitted first try once.
+func (k *keeping) takePlan() generation.Plan {
+	p := k.plan
+	k.plan = nil
+	return p
+}
+
+// endPlan gives up a plan that was not run.
+func (k *keeping) endPlan() {
+	if p := k.takePlan(); p != nil {
+		p.End(0)
+	}
+}
+
 // refused frees the claim of an attempt, unless a newer attempt replaced it. The caller
 // does not wait for that.
 func (k *keeping) refused(why *refusal.Refusal, c claim.Claimed) (*refusal.Refusal, bool) {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -135,7 +135,7 @@
 }
 
 func keeperLost(address string) *refusal.Refusal {
-	return refusal.New(refusal.RanNo, refusal.KeeperLost, keeperLostRetry, "the entry at %s can't be reached", address)
+	return refusal.New(refusal.RanUnknown, refusal.KeeperLost, keeperLostRetry, "the entry at %s can't be reached", address)
 }
 
 func fromGeneration(g request.Generation, at request.Position) *callerv1.GenerateRequest {
--- a/router/configuration/index.go
+++ b/router/configuration/index.go
@@ -20,6 +20,8 @@
 		byModel       map[string]*Rule
 		byService     map[string]*Rule
 		byCredential  map[string]*Partner
+		partners      map[string]*Partner
+		rulesOf       map[string][]*Rule
 	}
 )
 
@@ -34,6 +36,8 @@
 		byModel:       make(map[string]*Rule, len(c.Rules)),
 		byService:     make(map[string]*Rule, len(c.Rules)),
 		byCredential:  make(map[string]*Partner, len(c.Partners)),
+		partners:      make(map[string]*Partner, len(c.Partners)),
+		rulesOf:       make(map[string][]*Rule, len(c.Pools)),
 	}
 	for n := range c.Upstreams {
 		i.upstreams[c.Upstreams[n].Name] = &c.Upstreams[n]
@@ -96,6 +100,16 @@
 	return i.byCredential[digest]
 }
 
+// Partner returns a partner by name, or nil.
+func (i *Index) Partner(name string) *Partner {
+	return i.partners[name]
+}
+
+// RulesOf returns the rules that use a pool.
+func (i *Index) RulesOf(pool string) []*Rule {
+	return i.rulesOf[pool]
+}
+
 // Allows tells whether a partner may use a rule.
 func (p *Partner) Allows(rule string) bool {
 	return len(p.Rules) == 0 || slices.Contains(p.Rules, rule)
@@ -125,16 +139,24 @@
 		r := &i.configuration.Rules[n]
 		if r.Model != "" {
 			i.byModel[r.Model] = r
+			i.addRuleOf(r.PrefillPool, r)
+			i.addRuleOf(r.DecodePool, r)
 		}
 		if r.Service != "" {
 			i.byService[r.Service] = r
+			i.addRuleOf(r.ServicePool, r)
 		}
 	}
 }
 
+func (i *Index) addRuleOf(pool string, r *Rule) {
+	i.rulesOf[pool] = append(i.rulesOf[pool], r)
+}
+
 func (i *Index) addPartners() {
 	for n := range i.configuration.Partners {
 		p := &i.configuration.Partners[n]
+		i.partners[p.Name] = p
 		for _, digest := range p.CredentialSHA256 {
 			i.byCredential[digest] = p
 		}
--- a/router/decode/pace.go
+++ b/router/decode/pace.go
@@ -11,6 +11,8 @@
 	// memory of one observation in the fitted line.
 	paceDecay      = 0.98
 	minPaceSamples = 4
+	// minPaceVariance is the variance of batches from which their steps tell a slope.
+	minPaceVariance = 1
 	// paceTolerance absorbs rounding when the target is met exactly.
 	paceTolerance = 1e-6
 	// stallFactor times the target is a stall, which tells nothing about the pace.
@@ -80,14 +82,21 @@
 		return p.initial
 	}
 	mean, step := p.batch/p.weight, p.step/p.weight
+	limit := mean + (p.target.Seconds()-step)/p.slope(mean, step)
+	return min(max(1, int(limit+paceTolerance)), p.maxLimit)
+}
+
+// slope returns the growth of a step with the batch. While the batches hardly differ, it
+// assumes the one that the initial limit stands for.
+func (p *Pace) slope(mean, step float64) float64 {
 	variance := p.batch2/p.weight - mean*mean
-	slope := 0.0
-	if variance > paceTolerance {
-		slope = (p.cross/p.weight - mean*step) / variance
+	if variance >= minPaceVariance {
+		if slope := (p.cross/p.weight - mean*step) / variance; slope > 0 {
+			return slope
+		}
 	}
-	if slope <= 0 {
-		slope = step / (2 * mean)
+	if initial := float64(p.initial); mean < initial && step < p.target.Seconds() {
+		return (p.target.Seconds() - step) / (initial - mean)
 	}
-	limit := mean + (p.target.Seconds()-step)/slope
-	return min(max(1, int(limit+paceTolerance)), p.maxLimit)
+	return step / (2 * mean)
 }
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	defaultFirstToken   = 380 * time.Millisecond
 	defaultHold         = 1500 * time.Millisecond
 	defaultMaxTries     = 3
 	defaultMaxOutput    = 1024
@@ -37,20 +36,40 @@
 		Attempt     port.Attempt
 		// Keeper identifies the entry's process for its leases.
 		Keeper string
+		// Plan is the admitted first try.
+		Plan Plan
 		// Suspect work ran on an upstream that died: it runs where few others do.
 		Suspect bool
 	}
 
-	// Route chooses upstreams.
+	// Route decides which requests begin, and chooses upstreams.
 	Route interface {
-		// Prefill returns a prefill upstream that is not to be avoided.
-		Prefill(g *request.Generation, prompt string, avoid []string, now time.Time) (Target, *refusal.Refusal)
-		// Decode returns a decode upstream that is not to be avoided.
-		Decode(g *request.Generation, promptTokens int, suspect bool, avoid []string, now time.Time) (Target, *refusal.Refusal)
+		// Admit begins a try of a prompt, or refuses it before any work. Upstreams to avoid
+		// refused the same try.
+		Admit(g *request.Generation, prompt string, avoid []string, now time.Time) (Plan, *refusal.Refusal)
 		// Down keeps work from an upstream that can't be reached, for a short time.
 		Down(upstream string, now time.Time)
 	}
 
+	// Plan is an admitted try until Finish or End.
+	Plan interface {
+		// Prefill returns the prefill upstream.
+		Prefill() Target
+		// Deadline is when the next token is due.
+		Deadline() time.Time
+		// Decode waits for a decode upstream with room, the most urgent try first. Suspect
+		// work goes where the fewest streams run.
+		Decode(ctx context.Context, suspect bool, avoid []string) (Target, *refusal.Refusal)
+		// Reserved notes the decode upstream that granted memory.
+		Reserved(t Target)
+		// Prefilled notes that the prefill upstream has the prompt cached.
+		Prefilled()
+		// Finish ends the try with a whole answer.
+		Finish(outputTokens int)
+		// End ends the try without one.
+		End(outputTokens int)
+	}
+
 	// Holdings records where attempts hold anything, so that heartbeats renew their leases.
 	Holdings interface {
 		Add(address string, a port.Attempt)
@@ -98,15 +117,14 @@
 	Option func(*runner)
 
 	runner struct {
-		sidecars   port.Sidecars
-		route      Route
-		holdings   Holdings
-		crashes    Crashes
-		retries    Retries
-		log        event.Log
-		firstToken func() time.Duration
-		hold       time.Duration
-		maxTries   int
+		sidecars port.Sidecars
+		route    Route
+		holdings Holdings
+		crashes  Crashes
+		retries  Retries
+		log      event.Log
+		hold     time.Duration
+		maxTries int
 	}
 
 	// result is how one try ended.
@@ -123,15 +141,14 @@
 // NewRunner returns a runner.
 func NewRunner(s port.Sidecars, route Route, h Holdings, c Crashes, b Retries, options ...Option) Runner {
 	r := &runner{
-		sidecars:   s,
-		route:      route,
-		holdings:   h,
-		crashes:    c,
-		retries:    b,
-		log:        event.Discard(),
-		firstToken: func() time.Duration { return defaultFirstToken },
-		hold:       defaultHold,
-		maxTries:   defaultMaxTries,
+		sidecars: s,
+		route:    route,
+		holdings: h,
+		crashes:  c,
+		retries:  b,
+		log:      event.Discard(),
+		hold:     defaultHold,
+		maxTries: defaultMaxTries,
 	}
 	for _, o := range options {
 		o(r)
@@ -139,11 +156,6 @@
 	return r
 }
 
-// WithFirstToken sets the time to the first token that requests are planned for.
-func WithFirstToken(target func() time.Duration) Option {
-	return func(r *runner) { r.firstToken = target }
-}
-
 // WithLog writes events to a log.
 func WithLog(l event.Log) Option {
 	return func(r *runner) { r.log = l }
@@ -154,7 +166,8 @@
 	r.retries.Try()
 	ran := refusal.RanNo
 	for try := 1; ; try++ {
-		w := &work{runner: r, record: record, job: j, deadline: r.deadline(record, try)}
+		w := &work{runner: r, record: record, job: j, plan: j.Plan}
+		j.Plan = nil
 		res := w.run(ctx)
 		if res.why == nil {
 			r.crashes.Passed(j.Fingerprint)
@@ -175,12 +188,3 @@
 		}
 	}
 }
-
-// deadline is the time by which the next token is due: from the arrival for a first
-// try, from now for a continued answer.
-func (r *runner) deadline(record *request.Record, try int) time.Time {
-	if try == 1 {
-		return record.Arrived.Add(r.firstToken())
-	}
-	return time.Now().Add(r.firstToken())
-}
--- a/router/generation/generation_test.go
+++ b/router/generation/generation_test.go
@@ -39,7 +39,8 @@
 		ctx    context.Context
 		events []any
 	}
-	routes    struct{ f *fake }
+	routes    struct{}
+	plan      struct{ avoid []string }
 	crashes   struct{ count int }
 	noRetries struct{ left int }
 )
@@ -123,14 +124,22 @@
 	}
 }
 
-func (r routes) Prefill(_ *request.Generation, _ string, avoid []string, _ time.Time) (generation.Target, *refusal.Refusal) {
-	return pick("p", avoid), nil
+func (routes) Admit(_ *request.Generation, _ string, avoid []string, _ time.Time) (generation.Plan, *refusal.Refusal) {
+	return &plan{avoid: avoid}, nil
 }
 
-func (r routes) Decode(_ *request.Generation, _ int, _ bool, avoid []string, _ time.Time) (generation.Target, *refusal.Refusal) {
+func (p *plan) Prefill() generation.Target { return pick("p", p.avoid) }
+
+func (p *plan) Decode(_ context.Context, _ bool, avoid []string) (generation.Target, *refusal.Refusal) {
 	return pick("d", avoid), nil
 }
 
+func (p *plan) Deadline() time.Time        { return time.Now().Add(time.Second) }
+func (p *plan) Reserved(generation.Target) {}
+func (p *plan) Prefilled()                 {}
+func (p *plan) Finish(int)                 {}
+func (p *plan) End(int)                    {}
+
 func (routes) Down(string, time.Time) {}
 
 func (c *crashes) Crashed(context.Context, string, string) *refusal.Refusal {
@@ -201,7 +210,7 @@
 				f := &c.fake
 				f.reserved = make(map[string]int)
 				holdings := lease.NewHoldings()
-				runner := generation.NewRunner(f, routes{f}, holdings, &crashes{}, &noRetries{left: c.retries})
+				runner := generation.NewRunner(f, routes{}, holdings, &crashes{}, &noRetries{left: c.retries})
 				g := request.Generation{Partner: "p", Key: "k", Model: "m", Prompt: "question "}
 				r, _, _ := request.NewBook().Open(g, time.Now())
 				switch o := runner.Run(t.Context(), r, generation.Job{Generation: g}).(type) {
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -14,10 +14,10 @@
 type (
 	// work is one try of a request.
 	work struct {
-		runner   *runner
-		record   *request.Record
-		job      Job
-		deadline time.Time
+		runner *runner
+		record *request.Record
+		job    Job
+		plan   Plan
 		// crashedAt is the sidecar's address when its engine died, not only the connection.
 		crashedAt string
 		// exhausted tells that no decode upstream has memory.
@@ -38,8 +38,16 @@
 		w.release()
 		return result{why: why, retryable: why.Reason == refusal.UpstreamLost}
 	}
+	w.plan.Prefilled()
+	before := len(w.record.Tokens())
 	res := w.stream(ctx, kv)
 	w.drop(*w.decode)
+	output := len(w.record.Tokens()) - before
+	if res.why == nil {
+		w.plan.Finish(output)
+	} else {
+		w.plan.End(output)
+	}
 	return res
 }
 
@@ -73,15 +81,17 @@
 	var last *refusal.Refusal
 	prompt := w.prompt()
 	for len(avoid) < prefillTargets && ctx.Err() == nil {
-		target, why := w.runner.route.Prefill(&w.job.Generation, prompt, avoid, time.Now())
-		if why != nil {
+		if why := w.admit(prompt, avoid); why != nil {
 			return port.KV{}, worst(last, why)
 		}
+		target := w.plan.Prefill()
 		kv, why := w.prefillAt(ctx, target, prompt)
 		if why == nil {
 			return kv, nil
 		}
 		last = why
+		w.plan.End(0)
+		w.plan = nil
 		if w.crashedAt != "" || w.exhausted || !elsewhere(why) {
 			break
 		}
@@ -90,8 +100,24 @@
 	return port.KV{}, worst(last, nil)
 }
 
+// admit makes a plan for the next prefill upstream, unless there is one.
+func (w *work) admit(prompt string, avoid []string) *refusal.Refusal {
+	if w.plan != nil {
+		return nil
+	}
+	plan, why := w.runner.route.Admit(&w.job.Generation, prompt, avoid, time.Now())
+	if why != nil {
+		return why
+	}
+	w.plan = plan
+	if w.decode != nil {
+		plan.Reserved(*w.decode)
+	}
+	return nil
+}
+
 func (w *work) prefillAt(ctx context.Context, target Target, prompt string) (port.KV, *refusal.Refusal) {
-	ctx, cancel := context.WithDeadline(ctx, w.deadline.Add(prefillSlack))
+	ctx, cancel := context.WithDeadline(ctx, w.plan.Deadline().Add(prefillSlack))
 	defer cancel()
 	defer w.runner.holdings.OnLost(target.SidecarAddress, cancel)()
 	stream, err := w.runner.sidecars.Prefill(ctx, target.SidecarAddress, port.Prefill{
@@ -101,7 +127,7 @@
 		Model:       w.job.Generation.Model,
 		Prompt:      prompt,
 		Fingerprint: w.job.Fingerprint,
-		Budget:      time.Until(w.deadline),
+		Budget:      time.Until(w.plan.Deadline()),
 	})
 	if err != nil {
 		return port.KV{}, w.unreachable(target)
@@ -159,7 +185,7 @@
 	var avoid []string
 	var last *refusal.Refusal
 	for len(avoid) < reservationAttempts && ctx.Err() == nil {
-		target, why := w.runner.route.Decode(&w.job.Generation, w.job.Generation.PromptTokens(), w.job.Suspect, avoid, time.Now())
+		target, why := w.plan.Decode(ctx, w.job.Suspect, avoid)
 		if why != nil {
 			w.exhausted = true
 			return worst(last, why)
@@ -167,6 +193,7 @@
 		why = w.reserveAt(ctx, target)
 		if why == nil {
 			w.decode = &target
+			w.plan.Reserved(target)
 			return nil
 		}
 		last = why
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -267,7 +267,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d.superseded {
-		return Piece{}, refusal.New(refusal.RanNo, refusal.Superseded, 0, "a newer connection of the same key has the answer"), nil
+		return Piece{}, refusal.New(refusal.RanUnknown, refusal.Superseded, 0, "a newer connection of the same key has the answer"), nil
 	}
 	if r.state == failed {
 		return Piece{}, r.refusal, nil
--- a/router/route/hint.go
+++ b/router/route/hint.go
@@ -1,9 +1,10 @@
 package route
 
 import (
+	"slices"
 	"time"
 
-	"gooseberrypin.example/router/prefill"
+	"gooseberrypin.example/router/dispatch"
 )
 
 const (
@@ -13,16 +14,15 @@
 
 // revive makes upstreams worth a try again whose old hints leave no room. Hints ride on
 // answers, so an upstream that gets no work would never give a newer one.
-func (r *Router) revive(candidates []string, now time.Time) {
+func (r *Router) revive(of *line, p dispatch.Pools, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, name := range candidates {
+	for _, name := range slices.Concat(p.Prefills, p.Decodes) {
 		l, known := r.loads[name]
 		if !known || now.Sub(r.observed[name]) < hintTerm || (l.Accepting && l.FreePieces > 0) {
 			continue
 		}
 		r.observed[name] = now
-		r.decode.Forget(name)
-		r.prefill.Observe(prefill.Hint{Upstream: name, Accepting: true, At: now})
+		of.dispatcher.Forget(name, now)
 	}
 }
--- a/router/route/hint_test.go
+++ b/router/route/hint_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -29,21 +30,32 @@
 		"full, old":      {load: full, age: time.Second, want: true},
 	}
 	index, err := configuration.NewIndex(&configuration.Configuration{
-		Revision:  1,
-		Upstreams: []configuration.Upstream{{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}}},
-		Pools:     []configuration.Pool{{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"}},
-		Rules:     []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}},
+		Revision: 1,
+		Upstreams: []configuration.Upstream{
+			{Name: "u0", Kind: configuration.KindEngine, Labels: label.Labels{"role": "prefill"}},
+			{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}},
+		},
+		Pools: []configuration.Pool{
+			{Name: "p", Role: configuration.RolePrefill, Selector: "role=prefill"},
+			{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"},
+		},
+		Rules: []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}},
 	})
 	is.New(t).NoErr(err)
 	store := configuration.NewStore()
 	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := time.Now()
-			r := route.NewRouter(route.Self{Name: "entry"}, store, vm.NewTable(), rand.New(rand.NewPCG(1, 1)))
-			r.Observe(test.load, now)
-			_, why := r.Decode(&request.Generation{Model: "m"}, 10, false, nil, now.Add(test.age))
-			is.New(t).Equal(why == nil, test.want)
+			synctest.Test(t, func(t *testing.T) {
+				r := route.NewRouter(route.Self{Name: "entry"}, store, vm.NewTable(), rand.New(rand.NewPCG(1, 1)))
+				r.Observe(test.load, time.Now())
+				<-time.After(test.age)
+				p, why := r.Admit(&request.Generation{Model: "m", Prompt: "p"}, "p", nil, time.Now())
+				if why == nil {
+					_, why = p.Decode(t.Context(), false, nil)
+				}
+				is.New(t).Equal(why == nil, test.want)
+			})
 		})
 	}
 }
--- a/router/route/keeper.go
+++ b/router/route/keeper.go
@@ -23,12 +23,11 @@
 func (r *Router) Keepers(keyDigest string) []Keeper {
 	addresses := map[string]string{r.self.VM: r.self.Address}
 	names := []string{r.self.VM}
-	for _, v := range r.vms.Current().VMs {
-		if v.Role != vm.RoleEntry || v.Region != r.self.Region || v.State != vm.Live || v.Name == r.self.VM {
-			continue
+	for _, v := range r.others() {
+		if v.State == vm.Live {
+			addresses[v.Name] = v.FleetAddress
+			names = append(names, v.Name)
 		}
-		addresses[v.Name] = v.FleetAddress
-		names = append(names, v.Name)
 	}
 	var keepers []Keeper
 	for _, name := range rendezvous.Rank(keyDigest, names, keeperChoices) {
@@ -40,14 +39,24 @@
 // Entries returns the fleet addresses of the region's other entries.
 func (r *Router) Entries() []string {
 	var addresses []string
-	for _, v := range r.vms.Current().VMs {
-		if v.Role == vm.RoleEntry && v.Region == r.self.Region && v.Name != r.self.VM {
-			addresses = append(addresses, v.FleetAddress)
-		}
+	for _, v := range r.others() {
+		addresses = append(addresses, v.FleetAddress)
 	}
 	return addresses
 }
 
+// others returns the region's other entries.
+func (r *Router) others() []vm.VM {
+	revision := int64(0)
+	if s := r.store.Current(); s != nil {
+		revision = s.Revision
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(revision)
+	return r.entries
+}
+
 // ClaimHomes returns the sidecars that may hold a key's claim, the home first. Homes
 // follow from the configuration alone, so that all entries agree.
 func (r *Router) ClaimHomes(model, keyDigest string) []*configuration.Upstream {
--- /dev/null
+++ b/router/route/plan.go
@@ -0,0 +1,104 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypin.example/router/dispatch"
+	"gooseberrypin.example/router/generation"
+	"gooseberrypin.example/router/refusal"
+)
+
+const (
+	noRoomRetry = 200 * time.Millisecond
+)
+
+type (
+	// plan is an admitted try of a request.
+	plan struct {
+		router *Router
+		line   *line
+		ticket *dispatch.Ticket
+		model  string
+		target generation.Target
+	}
+)
+
+// Prefill implements generation.Plan.
+func (p *plan) Prefill() generation.Target {
+	return p.target
+}
+
+// Deadline implements generation.Plan.
+func (p *plan) Deadline() time.Time {
+	return p.ticket.Deadline
+}
+
+// Decode implements generation.Plan.
+func (p *plan) Decode(ctx context.Context, suspect bool, avoid []string) (generation.Target, *refusal.Refusal) {
+	if suspect {
+		return p.quietest(avoid)
+	}
+	a, assigned := p.line.await(ctx, p.ticket, avoid, p.pools)
+	switch {
+	case !assigned:
+		return generation.Target{}, refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the request ended while it waited for decode memory")
+	case a.TooLate:
+		return generation.Target{}, refusal.New(refusal.RanNo, refusal.Overloaded, noRoomRetry, "no decode upstream has room in time")
+	}
+	return p.at(a.Upstream)
+}
+
+// Reserved implements generation.Plan.
+func (p *plan) Reserved(t generation.Target) {
+	p.line.dispatcher.Reserved(p.ticket, t.Upstream, time.Now())
+}
+
+// Prefilled implements generation.Plan.
+func (p *plan) Prefilled() {
+	p.line.dispatcher.Prefilled(p.ticket)
+}
+
+// Finish implements generation.Plan.
+func (p *plan) Finish(outputTokens int) {
+	p.line.dispatcher.Finish(p.ticket, outputTokens, time.Now())
+	p.line.look(p.pools)
+}
+
+// End implements generation.Plan.
+func (p *plan) End(outputTokens int) {
+	p.line.dispatcher.End(p.ticket, outputTokens, time.Now())
+	p.line.look(p.pools)
+}
+
+// quietest returns the decode upstream where the fewest streams run.
+func (p *plan) quietest(avoid []string) (generation.Target, *refusal.Refusal) {
+	s := p.router.store.Current()
+	rule := s.Index.RuleForModel(p.model)
+	if rule == nil {
+		return generation.Target{}, NoUpstream(p.model)
+	}
+	candidates := p.router.candidates(s.Index, rule.DecodePool, avoid, time.Now())
+	if len(candidates) == 0 {
+		return generation.Target{}, NoUpstream(rule.DecodePool)
+	}
+	return p.at(p.router.quietest(candidates))
+}
+
+// at returns an upstream that may have left the configuration since it was chosen.
+func (p *plan) at(upstream string) (generation.Target, *refusal.Refusal) {
+	index := p.router.store.Current().Index
+	if index.Upstream(upstream) == nil {
+		return generation.Target{}, NoUpstream(upstream)
+	}
+	return target(index, upstream), nil
+}
+
+// pools are the upstreams that may be used now.
+func (p *plan) pools() dispatch.Pools {
+	index, rule, why := p.router.rule(p.model)
+	if why != nil {
+		return dispatch.Pools{Sharers: 1}
+	}
+	return p.router.pools(index, rule, nil, time.Now())
+}
--- a/router/route/route.go
+++ b/router/route/route.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"gooseberrypin.example/router/configuration"
-	"gooseberrypin.example/router/decode"
+	"gooseberrypin.example/router/dispatch"
 	"gooseberrypin.example/router/generation"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/prefill"
@@ -20,10 +20,8 @@
 )
 
 const (
-	defaultCoolDown    = time.Second
-	defaultPieceTokens = 4096
-	noUpstreamRetry    = 500 * time.Millisecond
-	overloadedRetry    = 200 * time.Millisecond
+	defaultCoolDown = time.Second
+	noUpstreamRetry = 500 * time.Millisecond
 )
 
 type (
@@ -38,23 +36,24 @@
 
 	// Router answers where work goes. It implements generation.Route.
 	Router struct {
-		self    Self
-		store   *configuration.Store
-		vms     *vm.Table
-		prefill *prefill.Chooser
-		decode  *decode.Chooser
+		self  Self
+		store *configuration.Store
+		vms   *vm.Table
 
 		mu      sync.Mutex
 		random  *rand.Rand
 		view    view
 		subsets map[string][]string
+		lines   map[string]*line
+		// entries are the region's other entries in the VM list.
+		entries []vm.VM
 		down    map[string]time.Time
 		loads   map[string]port.Load
 		// observed is when each load was true.
 		observed map[string]time.Time
 	}
 
-	// view is what the cached subsets were computed from.
+	// view is what the cached subsets and entries were computed from.
 	view struct {
 		revision int64
 		vms      int64
@@ -67,71 +66,61 @@
 		self:     self,
 		store:    store,
 		vms:      vms,
-		prefill:  prefill.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
-		decode:   decode.NewChooser(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
 		random:   rand.New(rand.NewPCG(random.Uint64(), random.Uint64())),
 		subsets:  make(map[string][]string),
+		lines:    make(map[string]*line),
 		down:     make(map[string]time.Time),
 		loads:    make(map[string]port.Load),
 		observed: make(map[string]time.Time),
 	}
 }
 
-// Prefill implements generation.Route.
-func (r *Router) Prefill(g *request.Generation, prompt string, avoid []string, now time.Time) (generation.Target, *refusal.Refusal) {
+// Admit implements generation.Route.
+func (r *Router) Admit(g *request.Generation, prompt string, avoid []string, now time.Time) (generation.Plan, *refusal.Refusal) {
 	index, rule, why := r.rule(g.Model)
 	if why != nil {
-		return generation.Target{}, why
+		return nil, why
 	}
-	candidates := r.candidates(index, rule.PrefillPool, avoid, now)
-	if len(candidates) == 0 {
-		return generation.Target{}, NoUpstream(rule.PrefillPool)
+	pools := r.pools(index, rule, avoid, now)
+	if len(pools.Prefills) == 0 {
+		return nil, NoUpstream(rule.PrefillPool)
 	}
-	r.revive(candidates, now)
-	choice, found := r.prefill.Choose(prefill.NewPrompt(prompt), candidates, now)
-	if !found {
-		return generation.Target{}, overloaded(rule.PrefillPool)
+	if len(pools.Decodes) == 0 {
+		return nil, NoUpstream(rule.DecodePool)
 	}
-	return target(index, choice.Upstream), nil
-}
-
-// Decode implements generation.Route. Suspect work goes where the fewest streams run.
-func (r *Router) Decode(g *request.Generation, promptTokens int, suspect bool, avoid []string, now time.Time) (generation.Target, *refusal.Refusal) {
-	index, rule, why := r.rule(g.Model)
+	l := r.line(index, g.Model)
+	r.revive(l, pools, now)
+	ticket, why := l.dispatcher.Admit(dispatch.Request{
+		Key:       g.KeyDigest(),
+		Partner:   g.Partner,
+		Weight:    weight(index, g.Partner),
+		Prompt:    prefill.NewPrompt(prompt),
+		Continued: len(prompt) > len(g.Prompt),
+	}, pools, now)
 	if why != nil {
-		return generation.Target{}, why
-	}
-	candidates := r.candidates(index, rule.DecodePool, avoid, now)
-	if len(candidates) == 0 {
-		return generation.Target{}, NoUpstream(rule.DecodePool)
+		return nil, why
 	}
-	r.revive(candidates, now)
-	if suspect {
-		candidates = []string{r.quietest(candidates)}
-	}
-	name, found := r.decode.Choose(pieces(index, promptTokens), candidates, nil, now)
-	if !found {
-		return generation.Target{}, overloaded(rule.DecodePool)
-	}
-	return target(index, name), nil
+	return &plan{router: r, line: l, ticket: ticket, model: g.Model, target: target(index, ticket.Choice.Upstream)}, nil
 }
 
 // Observe takes the load of an upstream that rode on an answer.
 func (r *Router) Observe(l port.Load, now time.Time) {
 	at := now.Add(-l.Age)
-	r.prefill.Observe(prefill.Hint{Upstream: l.Upstream, QueueDelay: l.QueueDelay, Accepting: l.Accepting, At: at})
-	r.decode.Observe(decode.Hint{
-		Upstream:   l.Upstream,
-		FreePieces: l.FreePieces,
-		Running:    l.Running,
-		Limit:      l.RunningLimit,
-		Accepting:  l.Accepting,
-		At:         at,
-	})
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.loads[l.Upstream] = l
 	r.observed[l.Upstream] = at
+	r.mu.Unlock()
+	s := r.store.Current()
+	if s == nil {
+		return
+	}
+	for _, p := range s.Index.PoolsOf(l.Upstream) {
+		for _, rule := range s.Index.RulesOf(p.Name) {
+			if rule.Model != "" {
+				r.line(s.Index, rule.Model).observe(l, at, r.pools(s.Index, rule, nil, now))
+			}
+		}
+	}
 }
 
 // Down keeps work from an upstream that can't be reached, for a short time.
@@ -194,13 +183,27 @@
 	return usable
 }
 
+// refresh drops what was computed from another configuration or VM list. The lock must
+// be held.
+func (r *Router) refresh(revision int64) {
+	list := r.vms.Current()
+	current := view{revision: revision, vms: list.Version}
+	if current == r.view {
+		return
+	}
+	r.view = current
+	r.subsets = make(map[string][]string)
+	r.entries = nil
+	for _, v := range list.VMs {
+		if v.Role == vm.RoleEntry && v.Region == r.self.Region && v.Name != r.self.VM {
+			r.entries = append(r.entries, v)
+		}
+	}
+}
+
 // subset is computed once for each configuration and VM list.
 func (r *Router) subset(index *configuration.Index, pool string) []string {
-	current := view{revision: index.Configuration().Revision, vms: r.vms.Current().Version}
-	if current != r.view {
-		r.view = current
-		r.subsets = make(map[string][]string)
-	}
+	r.refresh(index.Configuration().Revision)
 	selected, found := r.subsets[pool]
 	if found {
 		return selected
@@ -221,6 +224,18 @@
 	return u.Leaving || (listed && v.State == vm.Leaving)
 }
 
+// pools are the upstreams that a rule's requests may use now.
+func (r *Router) pools(index *configuration.Index, rule *configuration.Rule, avoid []string, now time.Time) dispatch.Pools {
+	decodes := r.candidates(index, rule.DecodePool, nil, now)
+	entries := 1 + len(r.others())
+	sharers := entries * len(decodes) / max(1, len(index.Members(rule.DecodePool)))
+	return dispatch.Pools{
+		Prefills: r.candidates(index, rule.PrefillPool, avoid, now),
+		Decodes:  decodes,
+		Sharers:  max(1, sharers),
+	}
+}
+
 func (r *Router) quietest(candidates []string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -233,12 +248,12 @@
 	return generation.Target{Upstream: name, SidecarAddress: index.Upstream(name).SidecarAddress}
 }
 
-func pieces(index *configuration.Index, tokens int) int {
-	size := int(index.Configuration().Limits.PieceTokens)
-	if size <= 0 {
-		size = defaultPieceTokens
+func weight(index *configuration.Index, partner string) float64 {
+	p := index.Partner(partner)
+	if p == nil || p.Weight <= 0 {
+		return 1
 	}
-	return (tokens + size - 1) / size
+	return p.Weight
 }
 
 // NoConfiguration refuses work before the first configuration is known.
@@ -250,7 +265,3 @@
 func NoUpstream(pool string) *refusal.Refusal {
 	return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetry, "pool %q has no usable upstream", pool)
 }
-
-func overloaded(pool string) *refusal.Refusal {
-	return refusal.New(refusal.RanNo, refusal.Overloaded, overloadedRetry, "pool %q has no room", pool)
-}
