Fade demands before the fair level is computed

Cause: a partner's demand was kept as of its last request, which that request itself raised; over 23 partners this added up to half the rate, so the fair level came out at a sixth of the right one and light partners counted as heavy.

--- a/router/bench/decodeserver.go
+++ b/router/bench/decodeserver.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrypin.example/router/decode"
@@ -173,8 +174,16 @@
 	s.streams = without(s.streams, a)
 }
 
-// check moves streams without a token away from an engine that makes no steps.
+// check gives up reservations that ran out, and moves streams without a token away
+// from an engine that makes no steps.
 func (s *decodeServer) check() {
+	for _, id := range s.memory.ExpireHolds(s.world.clock.now) {
+		i := slices.IndexFunc(s.held, func(a *attempt) bool { return a.id == id })
+		a := s.held[i]
+		s.held = without(s.held, a)
+		s.world.tally.shed("hold")
+		a.request.keeper.refuse(a, hopDelay)
+	}
 	if s.lost || !s.progress.Stalled(s.world.clock.now) {
 		return
 	}
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -44,7 +44,7 @@
 	k.end(a)
 	if k.world.policy.naive || !k.budget.Allow() {
 		k.world.tally.shed("lost")
-		k.world.clock.after(clientDelay+hopDelay, r.refused)
+		k.world.refused(r)
 		return
 	}
 	k.resume(r)
--- a/router/decode/memory.go
+++ b/router/decode/memory.go
@@ -2,6 +2,7 @@
 package decode
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -155,6 +156,7 @@
 			expired = append(expired, attempt)
 		}
 	}
+	slices.Sort(expired)
 	return expired
 }
 
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -45,6 +45,7 @@
 		weight float64
 		// demand is the rate asked for, in predicted tokens a second.
 		demand  float64
+		asked   time.Time
 		bucket  float64
 		updated time.Time
 	}
@@ -116,10 +117,12 @@
 	tokens := float64(predicted)
 	share := p.weight * l.level
 	p.refill(share, l.burst, tokens, now)
+	p.fade(now)
+	light := p.demand <= share
 	if first {
 		p.demand += tokens / demandWindow.Seconds()
 	}
-	if l.rate == 0 || l.pressure < l.beyond || p.demand <= share {
+	if l.rate == 0 || l.pressure < l.beyond || light {
 		p.bucket = max(0, p.bucket-tokens)
 		return nil
 	}
@@ -140,7 +143,7 @@
 func (l *Limiter) partner(name string, weight float64, now time.Time) *partner {
 	p, found := l.partners[name]
 	if !found {
-		p = &partner{updated: now}
+		p = &partner{asked: now, updated: now}
 		l.partners[name] = p
 	}
 	p.weight = weight
@@ -150,11 +153,17 @@
 	return p
 }
 
-// refill adds a partner's share since the last request, and lets its demand fade.
+// refill adds a partner's share since the last request.
 func (p *partner) refill(share float64, burst time.Duration, tokens float64, now time.Time) {
 	passed := max(0, now.Sub(p.updated))
 	p.updated = now
 	p.bucket = min(max(share*burst.Seconds(), tokens), p.bucket+share*passed.Seconds())
+}
+
+// fade lets what a partner asked for lose weight with time.
+func (p *partner) fade(now time.Time) {
+	passed := max(0, now.Sub(p.asked))
+	p.asked = now
 	p.demand *= math.Exp(-passed.Seconds() / demandWindow.Seconds())
 }
 
@@ -171,6 +180,7 @@
 			delete(l.partners, name)
 			continue
 		}
+		p.fade(now)
 		active = append(active, p)
 		weights += p.weight
 	}
