Test the decisions and measure their cost

Cause: the decision packages had no tests or cost benchmarks of their own. The share test found a fault: while no partner was above the fair level, the level fell to what was left over, so a light partner could be refused in a full system. Ruled out: a transient of the test; the level is now the last fair one, and the light partner is never refused.

--- /dev/null
+++ b/router/prefill/queue_test.go
@@ -0,0 +1,115 @@
+package prefill_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/prefill"
+	"gooseberrypin.example/router/refusal"
+)
+
+func item(attempt, partner string, tokens int, due time.Duration) prefill.Item {
+	return prefill.Item{Attempt: attempt, Partner: partner, Tokens: tokens, Arrived: start, Deadline: start.Add(due)}
+}
+
+func late(i prefill.Item) prefill.Item {
+	i.Late = true
+	return i
+}
+
+func TestQueueOrder(t *testing.T) {
+	for name, test := range map[string]struct {
+		items []prefill.Item
+		want  []string
+	}{
+		"by deadline": {
+			items: []prefill.Item{item("a", "p", 100, 300*time.Millisecond), item("b", "p", 100, 200*time.Millisecond)},
+			want:  []string{"b", "a"},
+		},
+		"by latest start": {
+			items: []prefill.Item{item("a", "p", 100, 300*time.Millisecond), item("b", "p", 8000, 310*time.Millisecond)},
+			want:  []string{"b", "a"},
+		},
+		"late last": {
+			items: []prefill.Item{late(item("a", "p", 100, 100*time.Millisecond)), item("b", "p", 100, 200*time.Millisecond)},
+			want:  []string{"b", "a"},
+		},
+		"partner far ahead waits": {
+			items: []prefill.Item{
+				item("a", "p", 800, 200*time.Millisecond),
+				item("b", "p", 800, 210*time.Millisecond),
+				item("c", "p", 800, 220*time.Millisecond),
+				item("d", "q", 800, 300*time.Millisecond),
+			},
+			want: []string{"a", "b", "d", "c"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := prefill.NewQueue(prefill.WithQuantum(1000))
+			for _, i := range test.items {
+				is.Equal(q.Push(i, start), nil)
+			}
+			var got []string
+			for range test.items {
+				next, found := q.Next(start)
+				is.True(found)
+				got = append(got, next.Attempt)
+			}
+			is.Equal(got, test.want)
+			_, found := q.Next(start)
+			is.True(!found) // the queue is empty
+		})
+	}
+}
+
+func TestQueueSheds(t *testing.T) {
+	is := is.New(t)
+	q := prefill.NewQueue(prefill.WithInitialCost(cost))
+	is.Equal(q.Push(item("a", "p", 8000, 250*time.Millisecond), start), nil)
+	is.Equal(q.Delay(start), 200*time.Millisecond)
+	refused := q.Push(item("b", "p", 4000, 250*time.Millisecond), start)
+	is.Equal(refused.Reason, refusal.Overloaded)
+	is.Equal(refused.Ran, refusal.RanNo)
+	is.True(refused.RetryAfter >= 50*time.Millisecond && refused.RetryAfter <= 75*time.Millisecond) // the drain and its jitter
+	is.Equal(len(q.Expired(start.Add(50*time.Millisecond))), 0)
+	expired := q.Expired(start.Add(51 * time.Millisecond))
+	is.Equal(expired[0].Attempt, "a")
+	is.True(!q.Remove("a"))
+	is.Equal(q.Delay(start), time.Duration(0))
+	q.Done(1000, 100*time.Millisecond)
+	is.Equal(q.Push(item("c", "p", 1000, time.Second), start), nil)
+	is.True(q.Delay(start) > 25*time.Millisecond) // the slower rate is learned
+}
+
+// BenchmarkQueue is one item pushed and one taken.
+func BenchmarkQueue(b *testing.B) {
+	for _, waiting := range []int{8, 64} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q := prefill.NewQueue()
+			push := func(i int) {
+				q.Push(item(fmt.Sprint(i), fmt.Sprint(i%24), 1, time.Hour), start)
+			}
+			for i := range waiting {
+				push(i)
+			}
+			b.ReportAllocs()
+			for i := waiting; b.Loop(); i++ {
+				push(i)
+				q.Next(start)
+			}
+		})
+	}
+}
+
+// BenchmarkNewPrompt hashes a prompt of 1,200 tokens.
+func BenchmarkNewPrompt(b *testing.B) {
+	text := string(make([]byte, 1200*prefill.TokenBytes))
+	b.ReportAllocs()
+	for b.Loop() {
+		prefill.NewPrompt(text)
+	}
+}
--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -198,13 +198,14 @@
 		}
 		return 0
 	})
+	fair := left
 	for _, p := range active {
-		fair := left / weights
+		fair = left / weights
 		if p.demand/p.weight >= fair {
 			return fair
 		}
 		left -= p.demand
 		weights -= p.weight
 	}
-	return max(left, 0)
+	return fair
 }
--- /dev/null
+++ b/router/share/limiter_test.go
@@ -0,0 +1,78 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/share"
+)
+
+const (
+	rate   = 6000
+	tokens = 200
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// TestTake offers 60 requests a second of one partner and 5 of another against a rate of 30.
+func TestTake(t *testing.T) {
+	for name, test := range map[string]struct {
+		pressure float64
+		weight   float64
+		low      int
+		high     int
+	}{
+		"idle system":             {pressure: 0.5, weight: 1, low: 1200, high: 1200},
+		"share under load":        {pressure: 0.95, weight: 1, low: 450, high: 600},
+		"full system":             {pressure: 1, weight: 1, low: 0, high: 200},
+		"weight gives more share": {pressure: 0.95, weight: 3, low: 450, high: 600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := share.NewLimiter(rand.New(rand.NewPCG(1, 2)))
+			l.SetRate(rate)
+			l.SetPressure(test.pressure)
+			greedy, light := 0, 0
+			for i := range 1200 {
+				now := start.Add(time.Duration(i) * time.Second / 60)
+				if r := l.Take("greedy", test.weight, tokens, 1, now); r == nil {
+					greedy++
+				} else {
+					is.Equal(r.Reason, refusal.PartnerShare)
+					is.True(r.RetryAfter > 0)
+				}
+				if i%12 == 0 && l.Take("light", 1, tokens, 1, now) == nil {
+					light++
+				}
+			}
+			is.Equal(light, 100) // the light partner is never limited
+			is.True(greedy >= test.low && greedy <= test.high)
+		})
+	}
+}
+
+// BenchmarkTake is one request of a loaded system.
+func BenchmarkTake(b *testing.B) {
+	for _, partners := range []int{24, 3300} {
+		b.Run(fmt.Sprintf("partners=%d", partners), func(b *testing.B) {
+			l := share.NewLimiter(rand.New(rand.NewPCG(1, 2)))
+			l.SetRate(rate)
+			l.SetPressure(0.95)
+			names := make([]string, partners)
+			for i := range names {
+				names[i] = fmt.Sprintf("partner-%d", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				l.Take(names[i%partners], 1, tokens, 1, start.Add(time.Duration(i)*time.Second/56))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/router/subset/subset_test.go
@@ -0,0 +1,72 @@
+package subset_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/subset"
+)
+
+func members(n int) []subset.Member {
+	list := make([]subset.Member, n)
+	for i := range list {
+		list[i] = subset.Member{Name: fmt.Sprintf("server-%d", i), DataCentre: fmt.Sprint(i % 7)}
+	}
+	return list
+}
+
+func TestSelect(t *testing.T) {
+	for name, test := range map[string]struct {
+		members int
+		near    int
+		want    int
+	}{
+		"small pool":           {members: 9, near: 2, want: 9},
+		"far ones fill up":     {members: 70, near: 10, want: 16},
+		"own data centre only": {members: 2100, near: 16, want: 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := members(test.members)
+			got := subset.Select("entry-1", "1", all, subset.DefaultSize)
+			is.Equal(len(got), test.want)
+			near := slices.DeleteFunc(slices.Clone(all), func(m subset.Member) bool { return m.DataCentre != "1" })
+			for _, name := range got[:min(test.near, len(near))] {
+				is.True(slices.ContainsFunc(near, func(m subset.Member) bool { return m.Name == name }))
+			}
+			is.Equal(got, subset.Select("entry-1", "1", all, subset.DefaultSize)) // the same each time
+		})
+	}
+}
+
+// TestSelectReplaces checks that a lost member changes one place only.
+func TestSelectReplaces(t *testing.T) {
+	is := is.New(t)
+	all := members(2100)
+	before := subset.Select("entry-1", "1", all, subset.DefaultSize)
+	left := slices.DeleteFunc(all, func(m subset.Member) bool { return m.Name == before[3] })
+	after := subset.Select("entry-1", "1", left, subset.DefaultSize)
+	kept := 0
+	for _, name := range after {
+		if slices.Contains(before, name) {
+			kept++
+		}
+	}
+	is.Equal(kept, subset.DefaultSize-1)
+}
+
+// BenchmarkSelect runs once for each change of a pool, not for a request.
+func BenchmarkSelect(b *testing.B) {
+	for _, servers := range []int{30, 2100} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			all := members(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				subset.Select("entry-1", "1", all, subset.DefaultSize)
+			}
+		})
+	}
+}
