--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 MODULES := gen router entry sidecar gooseberryctl standin scenario
 CHECKED := router entry sidecar gooseberryctl standin scenario
 GOLANGCI_VERSION := v2.15.0
+# Property tests draw the same cases each time.
+export RAPID_SEED := 1
+export RAPID_NOFAILFILE := true
 GOBIN := $(shell go env GOPATH)/bin
 
 # POLICIES are the ways to decide that bench-policy compares, joined by commas.
@@ -13,7 +16,7 @@
 	go build -o bin/ ./entry/cmd/... ./sidecar/cmd/... ./gooseberryctl/cmd/... ./standin/cmd/...
 
 demo: build
-	go run ./scenario/cmd/demo -bin bin
+	go run ./scenario/cmd/demo --bin bin
 
 test: known-red format lint vet race
 
@@ -27,7 +30,7 @@
 	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint fmt --diff ./...) || exit 1; done
 
 lint: tools
-	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+	@for m in $(CHECKED); do (cd $$m && $(GOBIN)/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 vet:
 	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
@@ -41,8 +44,8 @@
 bench-policy:
 	cd router/bench && go test -count=1 -cpu 3 -parallel 3 -run '^TestPolicies$$' -policies $(POLICIES) .
 
-bench-capacity:
-	go test -run '^$$' -bench . -benchmem ./router/... ./scenario/...
+bench-capacity: build
+	go run ./scenario/cmd/bench-capacity --bin bin
 
 generate:
 	./generate.sh
--- a/router/claim/claim.go
+++ b/router/claim/claim.go
@@ -11,9 +11,21 @@
 )
 
 const (
+	// Settled tells that the claim was still held and has ended.
+	Settled Settlement = iota + 1
+	// Lost tells that another entry holds the claim.
+	Lost
+	// Unknown tells that there is no record of the claim, or that nobody could be asked.
+	Unknown
+
+	// HomeCount is the number of upstreams that may hold a key's claim: the second one
+	// keeps what a restart of the first one forgets.
+	HomeCount = 2
+	// Horizon is how long a record is kept after its last use.
+	Horizon = 10 * time.Minute
+
 	shardCount        = 16
 	defaultCapacity   = 65_536
-	defaultHorizon    = 10 * time.Minute
 	tableFullRetry    = time.Second
 	stateHeld         = state(1)
 	stateAnswered     = state(2)
@@ -21,6 +33,9 @@
 )
 
 type (
+	// Settlement is how a claim ended.
+	Settlement int
+
 	// Request asks to keep a key.
 	Request struct {
 		KeyDigest     string
@@ -32,13 +47,17 @@
 		Unreachable string
 	}
 
-	// Outcome is Granted, Held or Refused.
+	// Outcome is Granted, Claimed, Held or Refused.
 	//
 	//sumtype:decl
 	Outcome interface{ outcome() }
 
 	// Granted makes the asking entry the keeper under an attempt number.
-	Granted struct{ Number uint64 }
+	Granted struct {
+		Number uint64
+		// Covered is how long the home has recorded claims: it may have forgotten older ones.
+		Covered time.Duration
+	}
 
 	// Held names the entry that keeps the key.
 	Held struct{ Keeper, KeeperAddress string }
@@ -48,6 +67,7 @@
 
 	// Table holds the claims of one home in shards.
 	Table struct {
+		started  time.Time
 		shards   [shardCount]shard
 		capacity int
 		horizon  time.Duration
@@ -75,7 +95,7 @@
 
 // NewTable returns an empty table.
 func NewTable(options ...Option) *Table {
-	t := &Table{capacity: defaultCapacity, horizon: defaultHorizon}
+	t := &Table{started: time.Now(), capacity: defaultCapacity, horizon: Horizon}
 	for i := range t.shards {
 		t.shards[i].records = make(map[string]*record)
 	}
@@ -90,6 +110,11 @@
 	return func(t *Table) { t.capacity = records }
 }
 
+// WithStarted sets since when the table records claims.
+func WithStarted(started time.Time) Option {
+	return func(t *Table) { t.started = started }
+}
+
 // WithHorizon sets how long a record is kept after its last use.
 func WithHorizon(horizon time.Duration) Option {
 	return func(t *Table) { t.horizon = horizon }
@@ -99,11 +124,6 @@
 func (Held) outcome()    {}
 func (Refused) outcome() {}
 
-// Home returns the upstream whose sidecar holds the claim of a key.
-func Home(keyDigest string, upstreams []string) string {
-	return rendezvous.Winner(keyDigest, upstreams)
-}
-
 // Claim makes the asking entry the keeper of a key, or names the one that is.
 func (t *Table) Claim(q Request, now time.Time) Outcome {
 	s := t.shard(q.KeyDigest)
@@ -126,26 +146,28 @@
 	}
 	r.keeper, r.address = q.Keeper, q.KeeperAddress
 	r.number = nextNumber(r.number, now)
-	return Granted{Number: r.number}
+	return Granted{Number: r.number, Covered: now.Sub(t.started)}
 }
 
 // Settle ends a claim: answered makes it final, otherwise the key is free again.
-// It tells whether the attempt still held the claim.
-func (t *Table) Settle(keyDigest, keeper string, number uint64, answered bool, now time.Time) bool {
+func (t *Table) Settle(keyDigest, keeper string, number uint64, answered bool, now time.Time) Settlement {
 	s := t.shard(keyDigest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, found := s.records[keyDigest]
-	if !found || r.keeper != keeper || r.number != number {
-		return false
+	if !found {
+		return Unknown
+	}
+	if r.keeper != keeper || r.number != number {
+		return Lost
 	}
 	r.touched = now
 	if answered {
 		r.state = stateAnswered
-		return true
+		return Settled
 	}
 	delete(s.records, keyDigest)
-	return true
+	return Settled
 }
 
 // Len returns the number of records.
@@ -177,7 +199,7 @@
 		touched:       now,
 	}
 	s.records[q.KeyDigest] = r
-	return Granted{Number: r.number}
+	return Granted{Number: r.number, Covered: now.Sub(t.started)}
 }
 
 // evict drops records past the horizon and tells whether there is room now.
--- /dev/null
+++ b/router/generation/generation.go
@@ -0,0 +1,186 @@
+// Package generation runs one request of a model: prefill, reservation, transfer and decode.
+package generation
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/request"
+)
+
+const (
+	defaultFirstToken   = 380 * time.Millisecond
+	defaultHold         = 1500 * time.Millisecond
+	defaultMaxTries     = 3
+	defaultMaxOutput    = 1024
+	defaultRetryAfter   = 250 * time.Millisecond
+	releaseTimeout      = time.Second
+	prefillTargets      = 3
+	reservationAttempts = 3
+	prefillSlack        = 500 * time.Millisecond
+)
+
+type (
+	// Target is an upstream to work with.
+	Target struct {
+		Upstream       string
+		SidecarAddress string
+	}
+
+	// Job is what a runner needs to know of a request.
+	Job struct {
+		Generation  request.Generation
+		Fingerprint string
+		Attempt     port.Attempt
+		// Keeper identifies the entry's process for its leases.
+		Keeper string
+		// Suspect work ran on an upstream that died: it runs where few others do.
+		Suspect bool
+	}
+
+	// Route chooses upstreams.
+	Route interface {
+		// Prefill returns a prefill upstream that is not to be avoided.
+		Prefill(g *request.Generation, prompt string, avoid []string, now time.Time) (Target, *refusal.Refusal)
+		// Decode returns a decode upstream that is not to be avoided.
+		Decode(g *request.Generation, promptTokens int, suspect bool, avoid []string, now time.Time) (Target, *refusal.Refusal)
+		// Down keeps work from an upstream that can't be reached, for a short time.
+		Down(upstream string, now time.Time)
+	}
+
+	// Holdings records where attempts hold anything, so that heartbeats renew their leases.
+	Holdings interface {
+		Add(address string, a port.Attempt)
+		Remove(address string, a port.Attempt)
+		// OnLost calls lost when the process at an address misses its heartbeats.
+		OnLost(address string, lost func()) (forget func())
+	}
+
+	// Crashes records which content ran on upstreams that died.
+	Crashes interface {
+		// Crashed learns from the sidecar of an engine that died what it suspects, and
+		// refuses content that must not be tried again.
+		Crashed(ctx context.Context, address, fingerprint string) *refusal.Refusal
+		// Passed clears content whose answer became whole.
+		Passed(fingerprint string)
+	}
+
+	// Retries is the budget of retries inside the system.
+	Retries interface {
+		// Try counts a first try.
+		Try()
+		// Allow takes one retry from the budget.
+		Allow() bool
+	}
+
+	// Outcome is Whole or Refused.
+	//
+	//sumtype:decl
+	Outcome interface{ outcome() }
+
+	// Whole tells that the record has all tokens of the answer.
+	Whole struct{ FinishReason string }
+
+	// Refused tells why there is no whole answer.
+	Refused struct{ Refusal *refusal.Refusal }
+
+	// Runner runs requests.
+	Runner interface {
+		// Run appends tokens to the record until the answer is whole or refused. It ends
+		// early with ctx.
+		Run(ctx context.Context, r *request.Record, j Job) Outcome
+	}
+
+	// Option changes a runner's bounds.
+	Option func(*runner)
+
+	runner struct {
+		sidecars   port.Sidecars
+		route      Route
+		holdings   Holdings
+		crashes    Crashes
+		retries    Retries
+		log        event.Log
+		firstToken func() time.Duration
+		hold       time.Duration
+		maxTries   int
+	}
+
+	// result is how one try ended.
+	result struct {
+		finishReason string
+		why          *refusal.Refusal
+		retryable    bool
+	}
+)
+
+func (Whole) outcome()   {}
+func (Refused) outcome() {}
+
+// NewRunner returns a runner.
+func NewRunner(s port.Sidecars, route Route, h Holdings, c Crashes, b Retries, options ...Option) Runner {
+	r := &runner{
+		sidecars:   s,
+		route:      route,
+		holdings:   h,
+		crashes:    c,
+		retries:    b,
+		log:        event.Discard(),
+		firstToken: func() time.Duration { return defaultFirstToken },
+		hold:       defaultHold,
+		maxTries:   defaultMaxTries,
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithFirstToken sets the time to the first token that requests are planned for.
+func WithFirstToken(target func() time.Duration) Option {
+	return func(r *runner) { r.firstToken = target }
+}
+
+// WithLog writes events to a log.
+func WithLog(l event.Log) Option {
+	return func(r *runner) { r.log = l }
+}
+
+// Run implements Runner.
+func (r *runner) Run(ctx context.Context, record *request.Record, j Job) Outcome {
+	r.retries.Try()
+	ran := refusal.RanNo
+	for try := 1; ; try++ {
+		w := &work{runner: r, record: record, job: j, deadline: r.deadline(record, try)}
+		res := w.run(ctx)
+		if res.why == nil {
+			r.crashes.Passed(j.Fingerprint)
+			return Whole{FinishReason: res.finishReason}
+		}
+		ran = w.ran(ran)
+		if ctx.Err() != nil {
+			return Refused{refusal.New(ran, refusal.Cancelled, 0, "the caller has gone")}
+		}
+		if w.crashedAt != "" {
+			j.Suspect = true
+			if why := r.crashes.Crashed(ctx, w.crashedAt, j.Fingerprint); why != nil {
+				return Refused{why}
+			}
+		}
+		if !res.retryable || try >= r.maxTries || !r.retries.Allow() {
+			return Refused{res.why.AtLeast(ran)}
+		}
+	}
+}
+
+// deadline is the time by which the next token is due: from the arrival for a first
+// try, from now for a continued answer.
+func (r *runner) deadline(record *request.Record, try int) time.Time {
+	if try == 1 {
+		return record.Arrived.Add(r.firstToken())
+	}
+	return time.Now().Add(r.firstToken())
+}
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -28,11 +28,20 @@
 
 	// Piece is a run of consecutive tokens, the completion, or both.
 	Piece struct {
+		// AnswerID names the answer that the piece belongs to.
+		AnswerID   string
 		Offset     int
 		Tokens     []string
 		Completion *Completion
 	}
 
+	// Position is how much of an answer a connection has.
+	Position struct {
+		// AnswerID names the answer. Empty: whichever is kept.
+		AnswerID string
+		Offset   int
+	}
+
 	// Completion proves that an answer is whole.
 	Completion struct {
 		TokenCount   int
@@ -77,7 +86,12 @@
 
 // PromptTokens estimates the prompt's length in tokens.
 func (g *Generation) PromptTokens() int {
-	return max(1, len(g.Prompt)/bytesPerToken)
+	return Tokens(g.Prompt)
+}
+
+// Tokens estimates the length of a text in tokens.
+func Tokens(text string) int {
+	return max(1, len(text)/bytesPerToken)
 }
 
 // digest hashes parts with their lengths, so that no two lists of parts collide.
@@ -93,3 +107,8 @@
 	_, _ = h.Write([]byte(strconv.Itoa(len(part)) + ":"))
 	_, _ = h.Write([]byte(part))
 }
+
+// CallDigest identifies what a call asks for, whatever its key, in hexadecimal.
+func CallDigest(service, path string, body []byte) string {
+	return digest(service, path, string(body))
+}
