Take the share before the prefill upstream is chosen, and refund it

Cause: a third of a refusal's cost was the choice of a prefill upstream that the share took back. Ruled out: the share before the deadline, which let late resends use it up; a resend past its deadline is refused first.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 # POLICIES are the ways to decide that bench-policy compares, joined by commas.
 POLICIES ?= all
+CORES ?= 4
 
 .PHONY: build demo test format lint vet race scenarios bench-policy bench-capacity generate tools known-red
 
@@ -42,7 +43,7 @@
 	go test -race -count=1 -timeout 15m ./scenario/...
 
 bench-policy:
-	cd router/bench && go test -count=1 -cpu 3 -parallel 3 -run '^TestPolicies$$' -policies $(POLICIES) .
+	cd router/bench && go test -count=1 -cpu $(CORES) -parallel $(CORES) -run '^TestPolicies$$' -policies $(POLICIES) .
 
 bench-capacity: build
 	go run ./scenario/cmd/bench-capacity --bin bin
--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	retryFraction  = 0.2
-	retryBurst     = 40
-	waitingCheck   = 5 * time.Millisecond
-	spareFraction  = 0.85
+	retryFraction = 0.2
+	retryBurst    = 40
+	waitingCheck  = 5 * time.Millisecond
+	// sparePressure is up to where late work displaces nobody.
+	sparePressure  = 0.85
 	initialOutput  = 256
 	outputWeight   = 0.02
 	hopsToPrefill  = 4 * hopDelay
@@ -80,17 +81,28 @@
 	if r.received > 0 {
 		deadline = now.Add(deadlineAtEdge)
 	}
-	if now.After(deadline) && !k.spare() {
+	pressure := k.pressure()
+	if now.After(deadline) && pressure > sparePressure {
 		k.world.tally.shed("late")
 		k.world.refused(r)
 		return
 	}
 	a := k.attempt(r)
 	a.deadline = deadline
-	if !k.admit(a) || !k.shared(a, again) {
+	if !k.shared(a, again, pressure) {
 		k.refuse(a, 0)
 		return
 	}
+	if !k.admit(a, pressure) {
+		k.limiter.Refund(r.partner, int(k.output))
+		k.refuse(a, 0)
+		return
+	}
+	k.enter(a)
+}
+
+// enter starts an admitted attempt.
+func (k *keeper) enter(a *attempt) {
 	k.begin(a)
 	if k.world.policy.reserve == reserveAtArrival {
 		k.reserve(a)
@@ -99,10 +111,16 @@
 	k.world.clock.after(hopDelay, func() { a.source.push(a) })
 }
 
-// shared takes an attempt from its partner's share.
-func (k *keeper) shared(a *attempt, again bool) bool {
+// pressure is the part of the streams that is known to be taken, with those that are
+// admitted and have no memory yet.
+func (k *keeper) pressure() float64 {
 	running, limit := k.decodes.Load(k.world.decodeNames)
-	k.limiter.SetPressure(float64(running+k.pending*entries) / float64(max(1, limit)))
+	return float64(running+k.pending*entries) / float64(max(1, limit))
+}
+
+// shared takes an attempt from its partner's share.
+func (k *keeper) shared(a *attempt, again bool, pressure float64) bool {
+	k.limiter.SetPressure(pressure)
 	taken := k.limiter.Take
 	if again {
 		taken = k.limiter.Again
@@ -111,7 +129,6 @@
 		return true
 	}
 	k.world.tally.shed("share")
-	k.prefills.Withdraw(a.prompt, a.choice)
 	return false
 }
 
@@ -144,9 +161,9 @@
 
 // admit chooses the prefill upstream of an attempt that is predicted to be in time, or
 // that is late but displaces nobody.
-func (k *keeper) admit(a *attempt) bool {
+func (k *keeper) admit(a *attempt, pressure float64) bool {
 	now := k.world.clock.now
-	spare := k.spare()
+	spare := pressure <= sparePressure
 	wait := k.decodes.Wait(k.pending*entries, k.world.decodeNames, now)
 	forecast := admission.Forecast{
 		QueueDelay: wait,
@@ -178,12 +195,6 @@
 	return true
 }
 
-// spare tells whether late work displaces nobody.
-func (k *keeper) spare() bool {
-	running, limit := k.decodes.Load(k.world.decodeNames)
-	return float64(running+k.pending*entries) <= spareFraction*float64(limit)
-}
-
 // reserve asks the roomiest decode server for memory.
 func (k *keeper) reserve(a *attempt) {
 	if a.ended {
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -54,14 +54,9 @@
 func (k *keeper) resume(r *request) {
 	next := k.attempt(r)
 	next.deadline = k.world.clock.now.Add(deadlineAtEdge)
-	if !k.admit(next) {
+	if !k.admit(next, k.pressure()) {
 		k.refuse(next, 0)
 		return
 	}
-	k.begin(next)
-	if k.world.policy.reserve == reserveAtArrival {
-		k.reserve(next)
-		return
-	}
-	k.world.clock.after(hopDelay, func() { next.source.push(next) })
+	k.enter(next)
 }
