Drive the entry's own dispatcher in the policy bench

Cause: the bench had a copy of the keeper's decisions; what it measured was not what the entry ran. Both now call package dispatch, and late prompts are marked on the wire.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,7 +36,8 @@
 )
 
 const (
-	retryFraction = 0.1
+	retryFraction = 0.2
+	retryBurst    = 40
 	sweepInterval = 5 * time.Second
 	closeTimeout  = 2 * time.Second
 	processKind   = "entry"
@@ -161,7 +162,7 @@
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
 	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
-	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction))
+	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
 		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
--- a/router/adapter/sidecar/stream.go
+++ b/router/adapter/sidecar/stream.go
@@ -35,6 +35,7 @@
 		Prompt:      p.Prompt,
 		Fingerprint: p.Fingerprint,
 		BudgetMs:    p.Budget.Milliseconds(),
+		Late:        p.Late,
 	}))
 	if err != nil {
 		cancel()
--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -75,7 +75,7 @@
 		PromptTokens: a.prompt.Tokens,
 		Arrived:      now,
 		Deadline:     a.deadline,
-		Late:         a.late,
+		Late:         a.ticket.Late,
 	}, now)
 	a.request.keeper.observePrefill(s.hint())
 	if refused != nil {
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -5,7 +5,7 @@
 	if a.ended {
 		return
 	}
-	if !k.world.policy.naive && !k.tooLate(a) && k.budget.Allow() {
+	if !k.world.policy.naive && !k.dispatcher.TooLate(a.ticket, k.world.clock.now) && k.budget.Allow() {
 		a.source.move(a)
 		return
 	}
@@ -25,8 +25,9 @@
 	}
 	a.avoid = append(a.avoid, from)
 	a.dest = nil
+	a.ticket.KVExpires = a.kvExpires
 	a.source.stop(a)
-	if k.tooLate(a) || !k.budget.Allow() {
+	if k.dispatcher.TooLate(a.ticket, k.world.clock.now) || !k.budget.Allow() {
 		k.world.tally.shed("move")
 		k.refuse(a, 0)
 		return
@@ -47,16 +48,5 @@
 		k.world.refused(r)
 		return
 	}
-	k.resume(r)
-}
-
-// resume starts another attempt of a request without asking its caller.
-func (k *keeper) resume(r *request) {
-	next := k.attempt(r)
-	next.deadline = k.world.clock.now.Add(deadlineAtEdge)
-	if !k.admit(next, k.pressure()) {
-		k.refuse(next, 0)
-		return
-	}
-	k.enter(next)
+	k.begin(r)
 }
--- a/router/bench/request.go
+++ b/router/bench/request.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gooseberrypin.example/router/dispatch"
 	"gooseberrypin.example/router/prefill"
 )
 
@@ -46,9 +47,7 @@
 		epoch     int
 		choice    prefill.Choice
 		deadline  time.Time
-		late      bool
 		avoid     []string
-		reserved  time.Time
 		kvExpires time.Time
 		// path counts the transfers that were started.
 		path      int
@@ -57,7 +56,7 @@
 		delivered bool
 		generated int
 		ended     bool
-		pending   bool
+		ticket    *dispatch.Ticket
 	}
 )
 
@@ -66,11 +65,6 @@
 	return a.prompt.Tokens - a.choice.CachedTokens
 }
 
-// latestStart is when the prefill must start to be in time.
-func (a *attempt) latestStart() time.Time {
-	return a.deadline.Add(-afterPrefill(a.prompt.Tokens) - time.Duration(a.uncached())*prefillTokenCost)
-}
-
 // bytes is the size of the KV cache.
 func (a *attempt) bytes() int64 {
 	return int64(a.prompt.Tokens) * kvBytesPerToken
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -23,8 +23,9 @@
 	defaultOutput        = 256
 	defaultOverhead      = 2 * time.Millisecond
 	outputWeight         = 0.02
-	spareFraction        = 0.85
-	noRoomRetry          = 200 * time.Millisecond
+	// sparePressure is up to where late work displaces nobody.
+	sparePressure = 0.85
+	noRoomRetry   = 200 * time.Millisecond
 )
 
 type (
@@ -130,11 +131,16 @@
 	if r.Continued {
 		t.Deadline = now.Add(d.firstToken)
 	}
-	if why := d.forecast(t, p, now); why != nil {
+	pressure := d.pressure(p)
+	if now.After(t.Deadline) && pressure > sparePressure {
+		return nil, d.gate.Shed(now.Sub(t.Deadline))
+	}
+	taken, why := d.share(r, again, pressure, p.Sharers, now)
+	if why != nil {
 		return nil, why
 	}
-	if why := d.shared(r, again, p, now); why != nil {
-		d.prefills.Withdraw(r.Prompt, t.Choice)
+	if why := d.forecast(t, p, pressure, now); why != nil {
+		d.limiter.Refund(r.Partner, taken)
 		return nil, why
 	}
 	d.mu.Lock()
@@ -169,11 +175,8 @@
 }
 
 // forecast chooses the prefill upstream and predicts the time of the first token.
-func (d *Dispatcher) forecast(t *Ticket, p Pools, now time.Time) *refusal.Refusal {
-	spare := d.spare(p)
-	if !spare && now.After(t.Deadline) {
-		return d.gate.Shed(now.Sub(t.Deadline))
-	}
+func (d *Dispatcher) forecast(t *Ticket, p Pools, pressure float64, now time.Time) *refusal.Refusal {
+	spare := pressure <= sparePressure
 	wait := d.decodes.Wait(d.ahead(p), p.Decodes, now)
 	f := admission.Forecast{
 		QueueDelay: wait,
@@ -202,24 +205,24 @@
 	return nil
 }
 
-// shared takes a request from its partner's share.
-func (d *Dispatcher) shared(r Request, again bool, p Pools, now time.Time) *refusal.Refusal {
-	running, limit := d.decodes.Load(p.Decodes)
-	d.limiter.SetPressure(float64(running+d.ahead(p)) / float64(max(1, limit)))
+// share takes a request from its partner's share, and returns the tokens that it took.
+func (d *Dispatcher) share(r Request, again bool, pressure float64, sharers int, now time.Time) (int, *refusal.Refusal) {
+	d.mu.Lock()
+	output := int(d.output)
+	d.mu.Unlock()
+	d.limiter.SetPressure(pressure)
 	take := d.limiter.Take
 	if again {
 		take = d.limiter.Again
 	}
-	d.mu.Lock()
-	output := int(d.output)
-	d.mu.Unlock()
-	return take(r.Partner, r.Weight, output, p.Sharers, now)
+	return output, take(r.Partner, r.Weight, output, sharers, now)
 }
 
-// spare tells whether late work displaces nobody.
-func (d *Dispatcher) spare(p Pools) bool {
+// pressure is the part of the streams that is known to be taken, with those that are
+// admitted and have no memory yet.
+func (d *Dispatcher) pressure(p Pools) float64 {
 	running, limit := d.decodes.Load(p.Decodes)
-	return float64(running+d.ahead(p)) <= spareFraction*float64(limit)
+	return float64(running+d.ahead(p)) / float64(max(1, limit))
 }
 
 // ahead estimates the requests of all entries that wait for decode memory.
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -16,6 +16,8 @@
 		Deadline time.Time
 		// Late requests were admitted only because they displace nobody.
 		Late bool
+		// KVExpires is set once the prefill is done: only the transfer must still be in time.
+		KVExpires time.Time
 
 		request  Request
 		avoid    []string
@@ -50,7 +52,7 @@
 	slices.SortStableFunc(d.line, moreUrgent)
 	var assigned []Assignment
 	d.line = slices.DeleteFunc(d.line, func(t *Ticket) bool {
-		if d.tooLate(t, now) {
+		if d.TooLate(t, now) {
 			assigned = append(assigned, Assignment{Ticket: t, TooLate: true})
 			return true
 		}
@@ -120,8 +122,12 @@
 	}
 }
 
-// tooLate tells whether a prefill that starts now misses the deadline.
-func (d *Dispatcher) tooLate(t *Ticket, now time.Time) bool {
+// TooLate tells whether a prefill that starts now misses the deadline, or a transfer the
+// end of the KV cache.
+func (d *Dispatcher) TooLate(t *Ticket, now time.Time) bool {
+	if !t.KVExpires.IsZero() {
+		return now.Add(d.Transfer(t.request.Prompt.Tokens)).After(t.KVExpires)
+	}
 	left := d.Transfer(t.request.Prompt.Tokens) + d.firstStep() + d.overhead/2
 	left += t.Choice.Predicted - t.Choice.Delay
 	return now.Add(left).After(t.Deadline)
--- a/router/generation/generation.go
+++ b/router/generation/generation.go
@@ -57,6 +57,8 @@
 		Prefill() Target
 		// Deadline is when the next token is due.
 		Deadline() time.Time
+		// Late tells that the try was admitted only because it displaces nobody.
+		Late() bool
 		// Decode waits for a decode upstream with room, the most urgent try first. Suspect
 		// work goes where the fewest streams run.
 		Decode(ctx context.Context, suspect bool, avoid []string) (Target, *refusal.Refusal)
--- a/router/generation/generation_test.go
+++ b/router/generation/generation_test.go
@@ -135,6 +135,7 @@
 }
 
 func (p *plan) Deadline() time.Time        { return time.Now().Add(time.Second) }
+func (p *plan) Late() bool                 { return false }
 func (p *plan) Reserved(generation.Target) {}
 func (p *plan) Prefilled()                 {}
 func (p *plan) Finish(int)                 {}
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -128,6 +128,7 @@
 		Prompt:      prompt,
 		Fingerprint: w.job.Fingerprint,
 		Budget:      time.Until(w.plan.Deadline()),
+		Late:        w.plan.Late(),
 	})
 	if err != nil {
 		return port.KV{}, w.unreachable(target)
--- a/router/port/sidecar.go
+++ b/router/port/sidecar.go
@@ -38,6 +38,8 @@
 		Fingerprint string
 		// Budget is the time left until the first token is due.
 		Budget time.Duration
+		// Late prompts displace no others.
+		Late bool
 	}
 
 	// Reservation asks a decode sidecar for memory.
--- a/router/route/plan.go
+++ b/router/route/plan.go
@@ -34,6 +34,11 @@
 	return p.ticket.Deadline
 }
 
+// Late implements generation.Plan.
+func (p *plan) Late() bool {
+	return p.ticket.Late
+}
+
 // Decode implements generation.Plan.
 func (p *plan) Decode(ctx context.Context, suspect bool, avoid []string) (generation.Target, *refusal.Refusal) {
 	if suspect {
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -94,6 +94,7 @@
 		Tokens:   max(1, len(p.Prompt)/bytesPerToken),
 		Arrived:  now,
 		Deadline: now.Add(budget),
+		Late:     p.Late,
 	}, now)
 	if r != nil {
 		c.dequeue(w.item)
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -84,6 +84,7 @@
 		Prompt:      m.GetPrompt(),
 		Fingerprint: m.GetFingerprint(),
 		Budget:      time.Duration(m.GetBudgetMs()) * time.Millisecond,
+		Late:        m.GetLate(),
 	}
 	r := p.controller.Prefill(ctx, work, func(e port.PrefillEvent) error { return s.Send(p.event(e)) })
 	if r == nil {
