--- a/standin/partner/outcome.go
+++ b/standin/partner/outcome.go
@@ -37,9 +37,10 @@
 
 	// Trace is what was seen on the way.
 	Trace struct {
+		Kind  Kind
 		Key   string
 		Tries int
-		// Answers counts whole answers; more than one is a duplicate.
+		// Answers counts whole answers of a run of their own; more than one is a duplicate.
 		Answers int
 		// Replayed counts answers that were kept from the one run.
 		Replayed int
--- a/standin/partner/report.go
+++ b/standin/partner/report.go
@@ -26,8 +26,10 @@
 		// DidNotRunClaims counts tries that were refused with "did not run".
 		DidNotRunClaims int `json:"did_not_run_claims"`
 		// DidNotRunKeys are the keys of which every try was refused so.
-		DidNotRunKeys []string       `json:"did_not_run_keys"`
-		AnsweredKeys  []string       `json:"answered_keys"`
+		DidNotRunKeys []string `json:"did_not_run_keys"`
+		AnsweredKeys  []string `json:"answered_keys"`
+		// DuplicateKeys are the keys with more than one fresh answer, each after its kind.
+		DuplicateKeys []string       `json:"duplicate_keys"`
 		Reasons       map[string]int `json:"reasons"`
 		FirstTokenMS  Percentiles    `json:"first_token_ms"`
 		BetweenMS     Percentiles    `json:"between_tokens_ms"`
@@ -56,7 +58,7 @@
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
-		report:     Report{Reasons: make(map[string]int), DidNotRunKeys: []string{}, AnsweredKeys: []string{}},
+		report:     Report{Reasons: make(map[string]int), DidNotRunKeys: []string{}, AnsweredKeys: []string{}, DuplicateKeys: []string{}},
 		firstToken: hdrhistogram.New(1, highestMicros, figures),
 		between:    hdrhistogram.New(1, highestMicros, figures),
 		total:      hdrhistogram.New(1, highestMicros, figures),
@@ -100,6 +102,9 @@
 func (t *Tally) trace(s *Trace) {
 	t.report.Resends += s.Tries - 1
 	t.report.Duplicates += max(0, s.Answers-1)
+	if s.Answers > 1 {
+		t.report.DuplicateKeys = append(t.report.DuplicateKeys, string(s.Kind)+" "+s.Key)
+	}
 	t.report.Mismatches += s.Mismatches
 	t.report.Replayed += s.Replayed
 	t.report.DidNotRunClaims += s.DidNotRun
--- a/standin/partner/send.go
+++ b/standin/partner/send.go
@@ -36,6 +36,7 @@
 		first:    first,
 		progress: sync.OnceFunc(func() { close(moved) }),
 	}
+	s.trace.Kind = r.kind()
 	s.trace.Key = r.key()
 	s.trace.Reasons = make(map[string]int)
 	return s.run(ctx, moved)
@@ -142,7 +143,6 @@
 	switch {
 	case e.whole && e.replayed:
 		s.trace.Replayed++
-		s.trace.Answers = max(s.trace.Answers, 1)
 	case e.whole:
 		s.trace.Answers++
 	case e.mismatch:
