--- a/router/booking/home.go
+++ b/router/booking/home.go
@@ -129,7 +129,7 @@
 	}
 	h.table.insert(s, newEntry(c, Intent, make(chan struct{})))
 	h.running.add(h.revision)
-	return Granted{Revision: h.revision, doubts: h.doubts}
+	return Granted{Revision: h.revision}
 }
 
 // Complete keeps the result of a granted run.
@@ -186,14 +186,6 @@
 	return h.table.expire(before)
 }
 
-// Holds tells whether a granted run may still be sent: the process was not paused since.
-func (h *Home) Holds(g Granted, now time.Time) bool {
-	h.Tick(now)
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.naive || g.doubts == h.doubts
-}
-
 // Running returns the number of granted runs that have not ended.
 func (h *Home) Running() int {
 	return h.running.below(maxRevision)
--- a/router/booking/outcome.go
+++ b/router/booking/outcome.go
@@ -15,8 +15,6 @@
 	Granted struct {
 		// Revision is the revision under which the run was granted.
 		Revision int64
-		// doubts is the number of pauses before the grant.
-		doubts int64
 	}
 
 	// Joined tells that the key runs already. Done is closed when it ends.
--- a/router/booking/ownership.go
+++ b/router/booking/ownership.go
@@ -37,7 +37,7 @@
 // homed tells whether only this sidecar can run a key from now on.
 func (h *Home) homed(c Call) bool {
 	p, found := h.pools[c.Pool]
-	if !found || h.ahead > h.revision || !h.selfListed() {
+	if !found || !h.selfListed() {
 		return false
 	}
 	if c.Revision > h.revision || c.Revision < p.current().revision {
--- a/sidecar/service/run.go
+++ b/sidecar/service/run.go
@@ -106,10 +106,6 @@
 
 // finish sends a granted call and records how it ended.
 func (c *Sidecar) finish(ctx context.Context, r *fleetv1.RunRequest, call booking.Call, g booking.Granted) *fleetv1.RunResponse {
-	if !c.home.Holds(g, time.Now()) {
-		c.home.Withdraw(call, g)
-		return refused(refusal.New(refusal.RanUnknown, refusal.HomeUnsettled, retryLater, "the process was paused"))
-	}
 	switch o := c.send(ctx, r).(type) {
 	case port.ServiceAnswered:
 		kept := booking.Result{Status: o.Status, Body: o.Body}
--- a/standin/partner/report.go
+++ b/standin/partner/report.go
@@ -28,7 +28,7 @@
 		// DidNotRunKeys are the keys of which every try was refused so.
 		DidNotRunKeys []string `json:"did_not_run_keys"`
 		AnsweredKeys  []string `json:"answered_keys"`
-		// DuplicateKeys are the keys with more than one fresh answer, each after its kind.
+		// DuplicateKeys are the keys with more than one fresh answer.
 		DuplicateKeys []string       `json:"duplicate_keys"`
 		Reasons       map[string]int `json:"reasons"`
 		FirstTokenMS  Percentiles    `json:"first_token_ms"`
@@ -103,7 +103,7 @@
 	t.report.Resends += s.Tries - 1
 	t.report.Duplicates += max(0, s.Answers-1)
 	if s.Answers > 1 {
-		t.report.DuplicateKeys = append(t.report.DuplicateKeys, string(s.Kind)+" "+s.Key)
+		t.report.DuplicateKeys = append(t.report.DuplicateKeys, s.Key)
 	}
 	t.report.Mismatches += s.Mismatches
 	t.report.Replayed += s.Replayed
