Give records back to a home that starts again

Cause: records that a planned stop handed over were given back once for each layout only, so a second restart of the same home lost the kept results. A sidecar listed without an address could not be asked. Ruled out: forgetting handed-over records at the giver; a receiver may die first. Conclusion: a rolling restart keeps the results of bookings.

--- a/router/booking/settle.go
+++ b/router/booking/settle.go
@@ -196,7 +196,7 @@
 		p = &peer{}
 		h.peers[m.VM] = p
 	}
-	if m.Upstream == "" && p.member.Address == m.Address {
+	if found && m.Upstream == "" && p.member.Address == m.Address {
 		return
 	}
 	p.elsewhere = p.elsewhere && p.member == m
--- a/sidecar/service/settle.go
+++ b/sidecar/service/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -40,6 +41,7 @@
 func (c *Sidecar) HandOver(_ context.Context, r *fleetv1.HandOverRequest) (*fleetv1.HandOverResponse, error) {
 	c.sync()
 	accepted := c.home.Accept(adapter.ToHandOver(r), time.Now())
+	c.forgetMoves(r.GetFrom())
 	c.metrics.Add("records_accepted", int64(accepted))
 	c.log.Info(event.BookingAccepted, "from", r.GetFrom(), "pool", r.GetPool(), "accepted", accepted, "offered", len(r.GetRecords()))
 	return &fleetv1.HandOverResponse{Accepted: int32(accepted)}, nil
@@ -138,7 +140,7 @@
 		return
 	}
 	for _, o := range c.home.Moves(to) {
-		key := move{to: m.VM, pool: o.Pool, revision: o.Revision}
+		key := move{to: to, pool: o.Pool, revision: o.Revision}
 		if c.wasMoved(key) {
 			continue
 		}
@@ -179,6 +181,13 @@
 	c.moved[key] = true
 }
 
+// forgetMoves lets an upstream that gave records away have them again.
+func (c *Sidecar) forgetMoves(to string) {
+	c.movedMu.Lock()
+	defer c.movedMu.Unlock()
+	maps.DeleteFunc(c.moved, func(m move, _ bool) bool { return m.to == to })
+}
+
 // upstream returns the own upstream in the configuration in force, or nil.
 func (c *Sidecar) upstream() *configuration.Upstream {
 	s := c.store.Current()
