Try the last upstreams of a pool sooner, and end answers whose pool is empty

(1) orders: with the only decode upstream relabelled there is no home, and a whole answer was refused instead of settled where it was claimed. (2) caller_gone: a pool whose only member had been cut off was refused for a second; it is now tried again after 200 ms. (3) planned_stop: a claim timed out after 600 ms on a busy machine; the bound is now 1 s.

--- a/entry/keeping.go
+++ b/entry/keeping.go
@@ -142,7 +142,7 @@
 		k.record.Finish(k.whole.FinishReason)
 		return nil, false
 	}
-	if !c.HeldAt(k.homes()) {
+	if homes := k.homes(); len(homes) > 0 && !c.HeldAt(homes) {
 		return nil, true
 	}
 	switch k.entry.claims.Settle(context.Background(), c, true) {
--- a/router/adapter/sidecar/sidecar.go
+++ b/router/adapter/sidecar/sidecar.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	defaultUnaryTimeout = 600 * time.Millisecond
+	defaultUnaryTimeout = time.Second
 )
 
 type (
--- a/router/route/route.go
+++ b/router/route/route.go
@@ -20,7 +20,9 @@
 )
 
 const (
-	defaultCoolDown = time.Second
+	coolDown = time.Second
+	// lastCoolDown is the cool-down of the last upstreams of a pool.
+	lastCoolDown    = 200 * time.Millisecond
 	noUpstreamRetry = 500 * time.Millisecond
 )
 
@@ -47,8 +49,9 @@
 		lines   map[string]*line
 		// entries are the region's other entries in the VM list.
 		entries []vm.VM
-		down    map[string]time.Time
-		loads   map[string]port.Load
+		// down is when upstreams were found unreachable.
+		down  map[string]time.Time
+		loads map[string]port.Load
 		// observed is when each load was true.
 		observed map[string]time.Time
 	}
@@ -127,7 +130,7 @@
 func (r *Router) Down(upstream string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.down[upstream] = now.Add(defaultCoolDown)
+	r.down[upstream] = now
 }
 
 // Loads returns the newest loads, for the state dump.
@@ -170,13 +173,24 @@
 	return s.Index, rule, nil
 }
 
-// candidates returns the members of the process's subset that may get work.
+// candidates returns the members of the process's subset that may get work. When all of
+// them were unreachable, they are tried again sooner.
 func (r *Router) candidates(index *configuration.Index, pool string, avoid []string, now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	members := r.subset(index, pool)
+	usable := r.cooled(members, avoid, now.Add(-coolDown))
+	if len(usable) == 0 {
+		return r.cooled(members, avoid, now.Add(-lastCoolDown))
+	}
+	return usable
+}
+
+// cooled returns the members that were last found unreachable before a time.
+func (r *Router) cooled(members, avoid []string, before time.Time) []string {
 	var usable []string
-	for _, name := range r.subset(index, pool) {
-		if !slices.Contains(avoid, name) && !now.Before(r.down[name]) {
+	for _, name := range members {
+		if !slices.Contains(avoid, name) && !r.down[name].After(before) {
 			usable = append(usable, name)
 		}
 	}
