--- a/router/subscription/candidate.go
+++ b/router/subscription/candidate.go
@@ -197,10 +197,10 @@
 }
 
 // fetch reads one part: from the peer that sent the manifest, else from a holder, else
-// from the platform. A holder that has the manifest from the platform reads the part there.
+// from the platform. Holders are not asked while they are silent, nor by a holder.
 func (r *Reader) fetch(ctx context.Context, c *candidate, sha256 string) ([]byte, error) {
 	sources := []string{c.from}
-	if c.from == "" && !r.topology().holder {
+	if c.from == "" && !r.topology().holder && r.silence() > 0 {
 		sources = r.topology().near
 	}
 	for _, address := range sources {
