--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 export RAPID_NOFAILFILE := true
 GOBIN := $(shell go env GOPATH)/bin
 
+# POLICIES are the ways to decide that bench-policy compares, joined by commas.
+POLICIES ?= all
+
 .PHONY: build demo test format lint vet race scenarios bench-policy bench-capacity generate tools known-red
 
 build:
@@ -39,10 +42,10 @@
 	go test -race -count=1 -timeout 15m ./scenario/...
 
 bench-policy:
-	go run ./router/cmd/bench-policy
+	cd router/bench && go test -count=1 -cpu 3 -parallel 3 -run '^TestPolicies$$' -policies $(POLICIES) .
 
-bench-capacity:
-	go run ./scenario/cmd/bench-capacity
+bench-capacity: build
+	go run ./scenario/cmd/bench-capacity --bin bin
 
 generate:
 	./generate.sh
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/adapter/sidecar"
+	"gooseberrypin.example/router/claim"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/generation"
@@ -62,6 +63,7 @@
 		sidecars port.Sidecars
 		route    *route.Router
 		runner   generation.Runner
+		claims   *claim.Holder
 		book     *request.Book
 		holdings *lease.Holdings
 		relays   *relays
@@ -141,7 +143,9 @@
 		e.draining.Store(true)
 		e.log.Info(event.Draining)
 		go func() {
-			e.finishRequests()
+			if !e.naive["drain"] {
+				e.finishRequests()
+			}
 			close(e.drained)
 		}()
 	})
@@ -155,12 +159,14 @@
 	self := route.Self{Name: s.Name, VM: s.VM, Region: s.Region, DataCentre: s.DataCentre, Address: fleetAddress}
 	e.route = route.NewRouter(self, e.store, e.vms, e.random)
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
+	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
 	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction),
 		generation.WithFirstToken(e.firstToken))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
-		e.store, e.vms, newRandom(e.random.Uint64()), e.log)
+		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
+		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive["peer_configuration"]))
 }
 
 // firstToken is the target that the operators set.
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -22,11 +23,16 @@
 		// exhausted tells that no decode upstream has memory.
 		exhausted bool
 		decode    *Target
+		// started tells that an engine was told to begin.
+		started bool
+		// gone tells whether the caller has gone.
+		gone func() bool
 	}
 )
 
 // run prefills, reserves and decodes. What was held is released on every way out.
 func (w *work) run(ctx context.Context) result {
+	w.gone = func() bool { return ctx.Err() != nil }
 	kv, why := w.prefill(ctx)
 	if why != nil {
 		w.release()
@@ -37,6 +43,17 @@
 	return res
 }
 
+// ran tells how far the request got, given how far earlier tries got.
+func (w *work) ran(earlier refusal.Ran) refusal.Ran {
+	switch {
+	case len(w.record.Tokens()) > 0:
+		return refusal.RanYes
+	case w.started:
+		return max(earlier, refusal.RanUnknown)
+	}
+	return earlier
+}
+
 // prompt is the request's prompt, followed by what was answered before an upstream was lost.
 func (w *work) prompt() string {
 	return w.job.Generation.Prompt + strings.Join(w.record.Tokens(), "")
@@ -94,6 +111,9 @@
 	defer stream.Close()
 	for {
 		e, err := stream.Next()
+		if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return port.KV{}, refusal.New(refusal.RanNo, refusal.Deadline, defaultRetryAfter, "no prefill in time at %s", target.Upstream)
+		}
 		if err != nil {
 			return port.KV{}, w.unreachable(target)
 		}
@@ -126,6 +146,7 @@
 			return why
 		}
 	}
+	w.started = true
 	why, err := w.runner.sidecars.StartPrefill(ctx, target.SidecarAddress, w.job.Attempt)
 	if err != nil {
 		return w.unreachable(target)
@@ -203,8 +224,7 @@
 		case port.Tokens:
 			w.record.Append(e.Texts)
 		case port.Finished:
-			w.finish(e.Reason)
-			return result{}
+			return result{finishReason: e.Reason}
 		case port.Refused:
 			w.noteCrash(*w.decode, e.Refusal)
 			return result{why: e.Refusal, retryable: retryable(e.Refusal)}
@@ -212,19 +232,6 @@
 	}
 }
 
-// finish settles the claim before the completion is handed on: only the entry that
-// still holds the claim ends an answer. A home that can't be asked does not hold it back.
-func (w *work) finish(reason string) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	settled, err := w.runner.sidecars.Settle(ctx, w.job.Home, w.job.Attempt, w.job.Keeper, true)
-	if err == nil && !settled {
-		w.record.Fail(refusal.New(refusal.RanYes, refusal.Superseded, 0, "another entry keeps this key now"))
-		return
-	}
-	w.record.Finish(reason)
-}
-
 // release gives up a reservation that no decode used.
 func (w *work) release() {
 	if w.decode != nil {
@@ -248,8 +255,11 @@
 	}
 }
 
+// unreachable keeps work from an upstream, unless the stream ended with its caller.
 func (w *work) unreachable(t Target) *refusal.Refusal {
-	w.runner.route.Down(t.Upstream, time.Now())
+	if !w.gone() {
+		w.runner.route.Down(t.Upstream, time.Now())
+	}
 	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
 }
 
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"hash"
@@ -15,6 +16,9 @@
 	running recordState = iota + 1
 	finished
 	failed
+
+	// handedWait bounds the wait for the fate of a completion that was handed on.
+	handedWait = time.Second
 )
 
 type (
@@ -28,6 +32,7 @@
 		Arrived time.Time
 
 		mu         sync.Mutex
+		answerID   string
 		state      recordState
 		tokens     []string
 		text       hash.Hash
@@ -35,6 +40,9 @@
 		refusal    *refusal.Refusal
 		reader     *Reader
 		delivered  bool
+		// handed is the connection that was given the completion; until it is known
+		// whether its caller has it, no other connection gets it.
+		handed     *Reader
 		changed    chan struct{}
 		cancel     context.CancelFunc
 		grace      time.Duration
@@ -56,6 +64,7 @@
 
 func newRecord(g Generation, now time.Time, grace time.Duration) *Record {
 	return &Record{
+		answerID:      rand.Text(),
 		Generation:    g,
 		ContentDigest: g.ContentDigest(),
 		Arrived:       now,
@@ -73,10 +82,23 @@
 	r.cancel = cancel
 }
 
-// Join makes a connection the record's reader; an older one ends as superseded.
-func (r *Record) Join(offset int) (*Reader, *refusal.Refusal) {
+// Continue begins the record with the tokens that the caller has of an answer whose
+// keeper was lost.
+func (r *Record) Continue(answerID string, prefix []string) {
+	r.Append(prefix)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.answerID = answerID
+}
+
+// Join makes a connection the record's reader; an older one ends as superseded. The
+// reader begins at its position, or at offset 0 of another answer.
+func (r *Record) Join(p Position) (*Reader, *refusal.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.AnswerID != "" && p.AnswerID != r.answerID {
+		p.Offset = 0
+	}
 	if r.delivered {
 		return nil, alreadyAnswered()
 	}
@@ -90,7 +112,7 @@
 		r.graceTimer.Stop()
 		r.graceTimer = nil
 	}
-	r.reader = &Reader{record: r, next: max(0, offset)}
+	r.reader = &Reader{record: r, next: max(0, p.Offset)}
 	r.wake()
 	return r.reader, nil
 }
@@ -148,6 +170,22 @@
 	}
 	r.delivered = true
 	r.tokens = nil
+	r.wake()
+}
+
+// Restart drops the answer so far in favour of another one.
+func (r *Record) Restart(answerID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != running || r.answerID == answerID {
+		return
+	}
+	r.answerID = answerID
+	r.tokens = nil
+	r.text.Reset()
+	if r.reader != nil {
+		r.reader.next = 0
+	}
 }
 
 // Tokens returns the answer so far.
@@ -193,6 +231,11 @@
 	}
 }
 
+// Return tells that the caller did not get the completion.
+func (d *Reader) Return() {
+	d.record.takeBack(d)
+}
+
 // Leave ends the connection. A record that nobody reads is cancelled after the grace
 // in which the caller may come back.
 func (d *Reader) Leave() {
@@ -232,8 +275,15 @@
 	if r.delivered {
 		return Piece{}, alreadyAnswered(), nil
 	}
+	if r.handed != nil && r.handed != d {
+		return Piece{}, nil, r.changed
+	}
 	if d.next < len(r.tokens) || r.completion != nil {
-		piece := Piece{Offset: d.next, Completion: r.completion}
+		if r.completion != nil {
+			r.handed = d
+			time.AfterFunc(handedWait, func() { r.takeBack(d) })
+		}
+		piece := Piece{AnswerID: r.answerID, Offset: d.next, Completion: r.completion}
 		if d.next < len(r.tokens) {
 			piece.Tokens = r.tokens[d.next:len(r.tokens):len(r.tokens)]
 		}
@@ -243,6 +293,16 @@
 	return Piece{}, nil, r.changed
 }
 
+// takeBack lets another connection have the completion.
+func (r *Record) takeBack(d *Reader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handed == d && !r.delivered {
+		r.handed = nil
+		r.wake()
+	}
+}
+
 func (r *Record) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/scenario/fleet/layout.go
+++ b/scenario/fleet/layout.go
@@ -19,6 +19,10 @@
 	// Region is the region of all VMs.
 	Region = "sul"
 
+	// clockSkewMS is the allowed error of a partner's clock. A restarted home answers
+	// "unknown" for keys younger than this, so a small one keeps scenarios short.
+	clockSkewMS = 200
+
 	labelRole = "role"
 	labelTier = "tier"
 )
@@ -49,6 +53,11 @@
 	return partner + "-credential-for-tests"
 }
 
+// Prompt returns a prompt whose answer has the given number of tokens at the stand-in engine.
+func Prompt(text string, tokens int32) string {
+	return fmt.Sprintf("%s [[out=%d]]", text, tokens)
+}
+
 // SidecarName returns the name of the process beside an upstream.
 func SidecarName(upstream string) string {
 	return upstream + "_sidecar"
@@ -102,8 +111,7 @@
 		Address:        n.address,
 		SidecarAddress: n.fleet,
 		Labels:         label.Labels{labelRole: string(n.role), labelTier: "steady"},
-		HeedsFencing:   true,
-		ChecksOrders:   true,
+		HeedsFencing:   n.kind() == configuration.KindEngine,
 	}
 }
 
@@ -136,6 +144,7 @@
 			{Name: "booking", Service: BookingService, ServicePool: "desk"},
 			{Name: "catalogue", Service: CatalogueService, ServicePool: "desk", Repeatable: true},
 		},
+		Limits: configuration.Limits{ClockSkewMS: clockSkewMS},
 	}
 	for _, partner := range []string{"varal", "kalamaki"} {
 		c.Partners = append(c.Partners, configuration.Partner{
--- a/scenario/stage_test.go
+++ b/scenario/stage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -94,10 +93,12 @@
 	switch kind {
 	case "answer":
 		return s.answerDocument(name)
+	case "answers":
+		return s.answerCounts(strings.Split(name, ","))
 	case "stats", "streams":
 		return s.upstreamPage(name, "/v1/"+kind)
 	case "runs":
-		return s.upstreamPage(name, "/runs")
+		return s.runsDocument(strings.Split(name, ","))
 	case "reads":
 		return s.fleet.Page(s.fleet.PlatformAdminAddress(), "/reads")
 	}
@@ -202,11 +203,3 @@
 		}
 	}
 }
-
-func describe(kind, name string, conditions []Condition, have []string) string {
-	var parts []string
-	for i, c := range conditions {
-		parts = append(parts, fmt.Sprintf("%s%s%s (is %q)", c.Path, c.Operator, c.Value, have[i]))
-	}
-	return kind + " " + name + ": " + strings.Join(parts, ", ")
-}
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -54,6 +54,7 @@
 		suspects *quarantine.Table
 		log      event.Log
 		push     func()
+		confirm  func(context.Context) bool
 		naive    Naive
 
 		queue  *prefill.Queue
@@ -76,8 +77,11 @@
 		reshaping bool
 		load      port.EngineLoad
 		loadAt    time.Time
-		orphans   map[string]time.Time
-		counters  Counters
+		// loadTurn is the turn at the weight store that was used last.
+		loadTurn int64
+		orphans  map[string]time.Time
+		ticked   time.Time
+		counters Counters
 	}
 
 	// Counters count what a controller did since its start.
@@ -98,11 +102,12 @@
 		KeepsLeases bool
 		// KeepsOrphans never cancels a stream that nobody claims.
 		KeepsOrphans bool
-		// IgnoresSuspects runs content that crashed engines.
+		// IgnoresSuspects neither reports nor refuses content that crashed engines.
 		IgnoresSuspects bool
 		// IgnoresLeaving takes new work on a leaving upstream.
 		IgnoresLeaving bool
-		// OrdersAtOnce orders without finishing streams or waiting for a turn at the weight store.
+		// OrdersAtOnce orders without finishing streams, waiting for a turn at the weight store,
+		// or reading the revision again after a pause.
 		OrdersAtOnce bool
 	}
 
@@ -120,6 +125,7 @@
 		suspects:   quarantine.NewTable(),
 		log:        event.Discard(),
 		push:       func() {},
+		confirm:    func(context.Context) bool { return true },
 		memory:     decode.NewMemory(defaultPieces, defaultPieceTokens),
 		pace:       decode.NewPace(defaultBetweenTokens),
 		link:       transfer.NewLink(defaultLinkRate, transfer.WithTurns(transferTurns), transfer.WithStallAfter(stallAfter)),
@@ -154,6 +160,11 @@
 	return func(c *Controller) { c.push = push }
 }
 
+// WithConfirm is asked after a pause whether the configuration in force is the newest.
+func WithConfirm(confirm func(context.Context) bool) Option {
+	return func(c *Controller) { c.confirm = confirm }
+}
+
 // WithMemory sets the engine's pieces and their size.
 func WithMemory(pieces, pieceTokens int) Option {
 	return func(c *Controller) { c.memory = decode.NewMemory(pieces, pieceTokens) }
--- a/sidecar/peers.go
+++ b/sidecar/peers.go
@@ -10,13 +10,14 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/port"
-	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/vm"
 )
 
 const (
 	pushTimeout = 300 * time.Millisecond
 	pushWorkers = 16
+	// maxConcerned bounds the processes that are told at once; heartbeats tell the others.
+	maxConcerned = 1024
 )
 
 type (
@@ -31,7 +32,7 @@
 func (p *peers) Heartbeat(_ context.Context, q *fleetv1.HeartbeatRequest) (*fleetv1.HeartbeatResponse, error) {
 	c := p.sidecar
 	now := time.Now()
-	c.suspects.Merge(toSuspects(q.GetSuspects()), now)
+	c.suspects.Merge(wire.ToSuspects(q.GetSuspects()), now)
 	if q.GetView() != nil {
 		c.reader.Offer(q.GetFrom().GetFleetAddress(), peer.ToView(q.GetView()))
 	}
@@ -39,7 +40,7 @@
 		Process:  c.process(),
 		View:     peer.FromView(c.reader.View()),
 		Load:     c.load(),
-		Suspects: fromSuspects(c.suspects.Suspects(now)),
+		Suspects: wire.FromSuspects(c.suspects.Suspects(now)),
 		Lost:     c.renew(q),
 	}, nil
 }
@@ -57,6 +58,7 @@
 			lost = append(lost, wire.FromAttempt(a))
 		}
 		return lost
+	case plainService:
 	}
 	return nil
 }
@@ -73,50 +75,52 @@
 	}
 }
 
-// pushSuspects tells all entries of new suspects, as a caller resends at once.
+// pushSuspects tells all entries and the other members of the own pools of new suspects,
+// as a caller resends at once.
 func (c *Sidecar) pushSuspects() {
 	message := &fleetv1.HeartbeatRequest{
 		From:     c.process(),
 		View:     peer.FromView(c.reader.View()),
-		Suspects: fromSuspects(c.suspects.Suspects(time.Now())),
+		Suspects: wire.FromSuspects(c.suspects.Suspects(time.Now())),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 	defer cancel()
 	slots := make(chan struct{}, pushWorkers)
 	var wg sync.WaitGroup
-	for _, v := range c.vms.Current().VMs {
-		if v.Role != vm.RoleEntry || v.FleetAddress == "" {
-			continue
-		}
+	for _, address := range c.concerned() {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(v.FleetAddress), c.client).Heartbeat(ctx, message)
+			_, _ = fleetv1.NewPeersProtobufClient(fleet.URL(address), c.client).Heartbeat(ctx, message)
 		})
 	}
 	wg.Wait()
 }
 
-func fromSuspects(list []quarantine.Suspect) []*fleetv1.Suspect {
-	messages := make([]*fleetv1.Suspect, 0, len(list))
-	for _, s := range list {
-		messages = append(messages, &fleetv1.Suspect{
-			Fingerprint:      s.Fingerprint,
-			Crashes:          int32(s.Crashes),
-			QuarantinedForMs: s.Remaining.Milliseconds(),
-		})
+// concerned returns the addresses of the processes that must know a suspect soon.
+func (c *Sidecar) concerned() []string {
+	addresses := c.entries(maxConcerned)
+	s := c.store.Current()
+	if s == nil {
+		return addresses
+	}
+	for _, p := range s.Index.PoolsOf(c.settings.Upstream) {
+		for _, u := range s.Index.Members(p.Name) {
+			if u.Name != c.settings.Upstream && len(addresses) < maxConcerned {
+				addresses = append(addresses, u.SidecarAddress)
+			}
+		}
 	}
-	return messages
+	return addresses
 }
 
-func toSuspects(messages []*fleetv1.Suspect) []quarantine.Suspect {
-	list := make([]quarantine.Suspect, 0, len(messages))
-	for _, m := range messages {
-		list = append(list, quarantine.Suspect{
-			Fingerprint: m.GetFingerprint(),
-			Crashes:     int(m.GetCrashes()),
-			Remaining:   wire.Milliseconds(m.GetQuarantinedForMs()),
-		})
+// entries returns the fleet addresses of up to n entries.
+func (c *Sidecar) entries(n int) []string {
+	var addresses []string
+	for _, v := range c.vms.Current().VMs {
+		if v.Role == vm.RoleEntry && v.FleetAddress != "" && len(addresses) < n {
+			addresses = append(addresses, v.FleetAddress)
+		}
 	}
-	return list
+	return addresses
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/claim"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
@@ -25,6 +27,7 @@
 	"gooseberrypin.example/router/subscription"
 	"gooseberrypin.example/router/vm"
 	"gooseberrypin.example/sidecar/engine"
+	"gooseberrypin.example/sidecar/service"
 )
 
 const (
@@ -42,6 +45,7 @@
 		engine       port.Engine
 		platform     port.Platform
 		client       *http.Client
+		peers        port.Peers
 		keys         access.FleetKeys
 		store        *configuration.Store
 		vms          *vm.Table
@@ -58,29 +62,36 @@
 	//sumtype:decl
 	upstream interface{ upstream() }
 
-	modelEngine struct{ controller *engine.Controller }
+	modelEngine struct {
+		controller *engine.Controller
+		claims     *claim.Table
+	}
+
+	plainService struct{ bookings *service.Sidecar }
 
 	// Option changes what a sidecar is built from.
 	Option func(*Sidecar)
 
 	// State is the state dump.
 	State struct {
-		Process       settingsState        `json:"process"`
+		Process       processState         `json:"process"`
 		Configuration subscription.State   `json:"configuration"`
+		Claims        int                  `json:"claims"`
 		Engine        *engine.State        `json:"engine,omitempty"`
 		Service       any                  `json:"service,omitempty"`
 		Suspects      []quarantine.Suspect `json:"suspects"`
 	}
 
-	settingsState struct {
-		Name       string    `json:"name"`
-		Kind       string    `json:"kind"`
-		VM         string    `json:"vm"`
-		Region     string    `json:"region"`
-		DataCentre string    `json:"data_centre"`
-		Upstream   string    `json:"upstream"`
-		Started    time.Time `json:"started"`
-		Draining   bool      `json:"draining"`
+	processState struct {
+		Name         string    `json:"name"`
+		Kind         string    `json:"kind"`
+		VM           string    `json:"vm"`
+		Region       string    `json:"region"`
+		DataCentre   string    `json:"data_centre"`
+		Upstream     string    `json:"upstream"`
+		FleetAddress string    `json:"fleet_address"`
+		Started      time.Time `json:"started"`
+		Draining     bool      `json:"draining"`
 	}
 )
 
@@ -104,7 +115,9 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, peer.NewClient(c.client), c.store, c.vms, c.fork(), log)
+	c.peers = peer.NewClient(c.client)
+	c.reader = subscription.NewReader(s.VM, s.DataCentre, c.platform, c.peers, c.store, c.vms, c.fork(), log,
+		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(slices.Contains(s.Naive, naivePeers)))
 	c.upstream = c.newUpstream()
 	c.publishMetrics()
 	return c
@@ -120,7 +133,8 @@
 	return func(c *Sidecar) { c.platform = p }
 }
 
-func (modelEngine) upstream() {}
+func (modelEngine) upstream()  {}
+func (plainService) upstream() {}
 
 // SetFleetAddress sets the address that other processes see, once a free port is known.
 func (c *Sidecar) SetFleetAddress(address string) {
@@ -132,7 +146,9 @@
 	mux := http.NewServeMux()
 	switch u := c.upstream.(type) {
 	case modelEngine:
-		mountEngine(mux, u.controller)
+		mountEngine(mux, u)
+	case plainService:
+		mux.Handle(u.bookings.Handler())
 	}
 	peers := fleetv1.NewPeersServer(&peers{Publisher: peer.NewPublisher(c.reader), sidecar: c})
 	mux.Handle(peers.PathPrefix(), peers)
@@ -152,6 +168,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		wg.Go(func() { u.controller.Run(ctx) })
+	case plainService:
+		wg.Go(func() { u.bookings.Maintain(ctx) })
 	}
 	wg.Wait()
 }
@@ -161,8 +179,8 @@
 	return c.reader.Ready()
 }
 
-// Drain refuses new work from now on.
-func (c *Sidecar) Drain() {
+// Drain refuses new work from now on, and returns once what runs has ended or ctx ends.
+func (c *Sidecar) Drain(ctx context.Context) {
 	if c.draining.Swap(true) {
 		return
 	}
@@ -170,11 +188,13 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		u.controller.Drain()
+		c.awaitIdle(ctx)
+	case plainService:
+		u.bookings.Drain(ctx)
 	}
 }
 
-// AwaitIdle returns once nothing runs, or when ctx ends.
-func (c *Sidecar) AwaitIdle(ctx context.Context) {
+func (c *Sidecar) awaitIdle(ctx context.Context) {
 	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
 	for c.running() > 0 {
@@ -189,15 +209,16 @@
 // State returns the state dump.
 func (c *Sidecar) State() State {
 	s := State{
-		Process: settingsState{
-			Name:       c.settings.Name,
-			Kind:       processKind,
-			VM:         c.settings.VM,
-			Region:     c.settings.Region,
-			DataCentre: c.settings.DataCentre,
-			Upstream:   c.settings.Upstream,
-			Started:    c.started,
-			Draining:   c.draining.Load(),
+		Process: processState{
+			Name:         c.settings.Name,
+			Kind:         processKind,
+			VM:           c.settings.VM,
+			Region:       c.settings.Region,
+			DataCentre:   c.settings.DataCentre,
+			Upstream:     c.settings.Upstream,
+			FleetAddress: c.process().GetFleetAddress(),
+			Started:      c.started,
+			Draining:     c.draining.Load(),
 		},
 		Configuration: c.reader.State(),
 		Suspects:      c.suspects.Suspects(time.Now()),
@@ -206,12 +227,25 @@
 	case modelEngine:
 		state := u.controller.State()
 		s.Engine = &state
+		s.Claims = u.claims.Len()
+	case plainService:
+		s.Service = u.bookings.State()
 	}
 	return s
 }
 
 func (c *Sidecar) newUpstream() upstream {
-	return modelEngine{controller: engine.NewController(
+	if c.settings.Kind == configuration.KindService {
+		naive := slices.Contains(c.settings.Naive, naiveBookings)
+		of := service.Settings{
+			Upstream:        c.settings.Upstream,
+			VM:              c.settings.VM,
+			UpstreamAddress: c.settings.UpstreamAddress,
+			Naive:           naive,
+		}
+		return plainService{bookings: service.New(of, c.store, c.vms, c.client, c.log)}
+	}
+	return modelEngine{claims: claim.NewTable(), controller: engine.NewController(
 		engine.Settings{
 			Upstream:        c.settings.Upstream,
 			UpstreamAddress: c.settings.UpstreamAddress,
@@ -222,6 +256,7 @@
 		engine.WithLog(c.log),
 		engine.WithSuspects(c.suspects),
 		engine.WithPush(c.pushSuspects),
+		engine.WithConfirm(c.confirm),
 		engine.WithNaive(c.settings.engineNaive()),
 	)}
 }
@@ -234,6 +269,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		return u.controller.Running()
+	case plainService:
+		return int(u.bookings.Load().GetRunning())
 	}
 	return 0
 }
@@ -242,6 +279,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		return wire.FromLoad(u.controller.Load())
+	case plainService:
+		return u.bookings.Load()
 	}
 	return nil
 }
@@ -269,5 +308,8 @@
 	switch u := c.upstream.(type) {
 	case modelEngine:
 		c.metrics.Set("engine", expvar.Func(func() any { return u.controller.State().Counters }))
+		c.metrics.Set("claims", expvar.Func(func() any { return u.claims.Len() }))
+	case plainService:
+		c.metrics.Set("service", u.bookings.Metrics())
 	}
 }
