Give operators gooseberryctl

Ruled out: an in-force age in heartbeats, which would change the protocol; the age is shown from state dumps only.

--- /dev/null
+++ b/gooseberryctl/check.go
@@ -0,0 +1,96 @@
+package gooseberryctl
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/configuration"
+)
+
+type (
+	// CheckCommand checks a configuration file.
+	CheckCommand struct {
+		File string `arg:"" type:"existingfile" help:"Configuration as one JSON value."`
+	}
+
+	// DiffCommand compares two configuration files.
+	DiffCommand struct {
+		Old string `arg:"" type:"existingfile" help:"Configuration that is in force."`
+		New string `arg:"" type:"existingfile" help:"Configuration to publish."`
+	}
+
+	checkResult struct {
+		Valid  bool                  `json:"valid"`
+		Faults []configuration.Fault `json:"faults"`
+	}
+)
+
+// Run implements the command.
+func (c *CheckCommand) Run(o *output) error {
+	content, err := os.ReadFile(c.File)
+	if err != nil {
+		return eris.Wrap(err, "check")
+	}
+	read, faults := configuration.Read(content)
+	if len(faults) == 0 {
+		_, faults = configuration.Build(configuration.Split(read))
+	}
+	rows := make([][]string, 0, len(faults))
+	for _, f := range faults {
+		rows = append(rows, []string{f.String()})
+	}
+	result := checkResult{Valid: len(faults) == 0, Faults: append([]configuration.Fault{}, faults...)}
+	if err := o.print(result, []string{"FAULT"}, rows); err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return &finding{text: fmt.Sprintf("%s has %d faults", c.File, len(faults))}
+	}
+	o.line("%s: revision %d is valid: %d upstreams, %d pools, %d rules, %d partners", c.File, read.Revision,
+		len(read.Upstreams), len(read.Pools), len(read.Rules), len(read.Partners))
+	return nil
+}
+
+// Run implements the command.
+func (c *DiffCommand) Run(o *output) error {
+	before, err := readIndex(c.Old)
+	if err != nil {
+		return err
+	}
+	after, err := readIndex(c.New)
+	if err != nil {
+		return err
+	}
+	d := configuration.Diff(before, after)
+	rows := make([][]string, 0, len(d.Upstreams))
+	for _, u := range d.Upstreams {
+		rows = append(rows, []string{
+			u.Upstream, string(u.Change), list(u.OldPools), list(u.NewPools), orDash(string(u.OldRole)), orDash(string(u.NewRole)),
+		})
+	}
+	header := []string{"UPSTREAM", "CHANGE", "OLD POOLS", "NEW POOLS", "OLD ROLE", "NEW ROLE"}
+	if err := o.print(d, header, rows); err != nil {
+		return err
+	}
+	o.line("revision %d -> %d; pools changed: %s; rules: %s; partners: %s; limits changed: %v",
+		d.OldRevision, d.NewRevision, list(d.Pools), list(d.Rules), list(d.Partners), d.Limits)
+	if d.NewRevision <= d.OldRevision {
+		return &finding{text: fmt.Sprintf("revision %d is not above %d: no process would take it", d.NewRevision, d.OldRevision)}
+	}
+	return nil
+}
+
+// readIndex reads a valid configuration file.
+func readIndex(file string) (*configuration.Index, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read")
+	}
+	c, faults := configuration.Read(content)
+	if len(faults) > 0 {
+		return nil, &finding{text: fmt.Sprintf("%s has %d faults, the first is %s", file, len(faults), faults[0])}
+	}
+	return configuration.NewIndex(c)
+}
--- a/gooseberryctl/cmd/gooseberryctl/main.go
+++ b/gooseberryctl/cmd/gooseberryctl/main.go
@@ -1,4 +1,12 @@
-// Command gooseberryctl is built from package gooseberryctl.
+// Command gooseberryctl is the operators' client.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"gooseberrypin.example/gooseberryctl"
+)
+
+func main() {
+	os.Exit(gooseberryctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/gooseberryctl/dump.go
@@ -0,0 +1,59 @@
+package gooseberryctl
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// DumpCommand prints the state of a process.
+	DumpCommand struct {
+		Address string `arg:"" help:"Operators' IP:port of the process."`
+	}
+
+	// DrainCommand starts the planned stop of a process.
+	DrainCommand struct {
+		Address string `arg:"" help:"Operators' IP:port of the process."`
+	}
+)
+
+// Run implements the command.
+func (c *DumpCommand) Run(o *output) error {
+	content, err := request(context.Background(), http.MethodGet, c.Address, "/debug/state")
+	if err != nil {
+		return err
+	}
+	_, err = o.out.Write(content)
+	return eris.Wrap(err, "dump")
+}
+
+// Run implements the command.
+func (c *DrainCommand) Run(o *output) error {
+	if _, err := request(context.Background(), http.MethodPost, c.Address, "/drain"); err != nil {
+		return err
+	}
+	return o.print(map[string]string{"draining": c.Address}, []string{"DRAINING"}, [][]string{{c.Address}})
+}
+
+// request sends one request to an operators' address.
+func request(ctx context.Context, method, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, address)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, eris.Wrap(err, address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, eris.Errorf("%s answers %s", address, response.Status)
+	}
+	content, err := io.ReadAll(response.Body)
+	return content, eris.Wrap(err, address)
+}
--- a/router/subscription/candidate.go
+++ b/router/subscription/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -134,7 +135,7 @@
 	if !r.store.Put(snapshot) {
 		return true
 	}
-	r.forgetRejected(snapshot.Revision)
+	r.accepted(snapshot.Revision)
 	r.resize()
 	r.notify()
 	r.log.Info(event.ConfigurationInForce, "revision", snapshot.Revision, "digest", snapshot.Digest,
@@ -169,9 +170,11 @@
 	return slices.Contains(r.refused, digest)
 }
 
-func (r *Reader) forgetRejected(revision int64) {
+// accepted notes when a revision came in force, and forgets a refused one below it.
+func (r *Reader) accepted(revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.since = time.Now()
 	if r.rejected != nil && r.rejected.revision < revision {
 		r.rejected = nil
 	}
--- a/router/subscription/subscription.go
+++ b/router/subscription/subscription.go
@@ -34,6 +34,7 @@
 		heard    time.Time
 		polls    int
 		silent   bool
+		since    time.Time
 		current  *topology
 		refused  []string
 		rejected *candidate
@@ -52,6 +53,7 @@
 		VMsVersion      int64     `json:"vms_version"`
 		Holder          bool      `json:"holder"`
 		HeardAt         time.Time `json:"heard_at"`
+		InForceSince    time.Time `json:"in_force_since"`
 		RefusedRevision int64     `json:"refused_revision,omitempty"`
 		PlatformReads   int64     `json:"platform_reads"`
 		PlatformDown    bool      `json:"platform_down"`
@@ -141,6 +143,7 @@
 		VMsVersion:    v.VMsVersion,
 		Holder:        holder,
 		HeardAt:       r.heard,
+		InForceSince:  r.since,
 		PlatformReads: r.budget.count.Load(),
 		PlatformDown:  r.down,
 	}
