--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	retryFraction  = 0.2
-	retryBurst     = 40
-	waitingCheck   = 5 * time.Millisecond
-	spareFraction  = 0.85
+	retryFraction = 0.2
+	retryBurst    = 40
+	waitingCheck  = 5 * time.Millisecond
+	// sparePressure is up to where late work displaces nobody.
+	sparePressure  = 0.85
 	initialOutput  = 256
 	outputWeight   = 0.02
 	hopsToPrefill  = 4 * hopDelay
@@ -76,15 +77,32 @@
 	if !again {
 		k.budget.Try()
 	}
-	a := k.attempt(r)
-	a.deadline = first.Add(deadlineAtEdge)
+	deadline := first.Add(deadlineAtEdge)
 	if r.received > 0 {
-		a.deadline = now.Add(deadlineAtEdge)
+		deadline = now.Add(deadlineAtEdge)
+	}
+	pressure := k.pressure()
+	if now.After(deadline) && pressure > sparePressure {
+		k.world.tally.shed("late")
+		k.world.refused(r)
+		return
 	}
-	if !k.admit(a) || !k.shared(a, again) {
+	a := k.attempt(r)
+	a.deadline = deadline
+	if !k.shared(a, again, pressure) {
 		k.refuse(a, 0)
 		return
 	}
+	if !k.admit(a, pressure) {
+		k.limiter.Refund(r.partner, int(k.output))
+		k.refuse(a, 0)
+		return
+	}
+	k.enter(a)
+}
+
+// enter starts an admitted attempt.
+func (k *keeper) enter(a *attempt) {
 	k.begin(a)
 	if k.world.policy.reserve == reserveAtArrival {
 		k.reserve(a)
@@ -93,10 +111,16 @@
 	k.world.clock.after(hopDelay, func() { a.source.push(a) })
 }
 
-// shared takes an attempt from its partner's share.
-func (k *keeper) shared(a *attempt, again bool) bool {
+// pressure is the part of the streams that is known to be taken, with those that are
+// admitted and have no memory yet.
+func (k *keeper) pressure() float64 {
 	running, limit := k.decodes.Load(k.world.decodeNames)
-	k.limiter.SetPressure(float64(running+k.pending*entries) / float64(max(1, limit)))
+	return float64(running+k.pending*entries) / float64(max(1, limit))
+}
+
+// shared takes an attempt from its partner's share.
+func (k *keeper) shared(a *attempt, again bool, pressure float64) bool {
+	k.limiter.SetPressure(pressure)
 	taken := k.limiter.Take
 	if again {
 		taken = k.limiter.Again
@@ -105,7 +129,6 @@
 		return true
 	}
 	k.world.tally.shed("share")
-	k.prefills.Withdraw(a.prompt, a.choice)
 	return false
 }
 
@@ -138,13 +161,9 @@
 
 // admit chooses the prefill upstream of an attempt that is predicted to be in time, or
 // that is late but displaces nobody.
-func (k *keeper) admit(a *attempt) bool {
+func (k *keeper) admit(a *attempt, pressure float64) bool {
 	now := k.world.clock.now
-	spare := k.spare()
-	if !spare && now.After(a.deadline) {
-		k.world.tally.shed("late")
-		return false
-	}
+	spare := pressure <= sparePressure
 	wait := k.decodes.Wait(k.pending*entries, k.world.decodeNames, now)
 	forecast := admission.Forecast{
 		QueueDelay: wait,
@@ -176,12 +195,6 @@
 	return true
 }
 
-// spare tells whether late work displaces nobody.
-func (k *keeper) spare() bool {
-	running, limit := k.decodes.Load(k.world.decodeNames)
-	return float64(running+k.pending*entries) <= spareFraction*float64(limit)
-}
-
 // reserve asks the roomiest decode server for memory.
 func (k *keeper) reserve(a *attempt) {
 	if a.ended {
@@ -315,7 +328,11 @@
 		return
 	}
 	k.end(a)
-	k.world.clock.after(delay+clientDelay+hopDelay, a.request.refused)
+	if delay == 0 {
+		k.world.refused(a.request)
+		return
+	}
+	k.world.clock.after(delay, a.request.refused)
 }
 
 // end gives up an attempt and all that it holds.
