--- a/gooseberryctl/check.go
+++ b/gooseberryctl/check.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	if len(faults) > 0 {
-		return &finding{text: fmt.Sprintf("%s has %d faults", c.File, len(faults))}
+		return &finding{text: fmt.Sprintf("%s: %d fault(s)", c.File, len(faults))}
 	}
 	o.line("%s: revision %d is valid: %d upstreams, %d pools, %d rules, %d partners", c.File, read.Revision,
 		len(read.Upstreams), len(read.Pools), len(read.Rules), len(read.Partners))
--- a/gooseberryctl/status.go
+++ b/gooseberryctl/status.go
@@ -149,7 +149,7 @@
 	if p.AgeMS > 0 {
 		age = (time.Duration(p.AgeMS) * time.Millisecond).Round(time.Second).String()
 	}
-	if p.Load != nil && p.Load.GetUpstream() != "" {
+	if p.Load.GetTotalPieces() > 0 {
 		load = fmt.Sprintf("%d/%d running, %d/%d pieces free", p.Load.GetRunning(), p.Load.GetRunningLimit(),
 			p.Load.GetFreePieces(), p.Load.GetTotalPieces())
 	}
