Ask for a key at operators' addresses that the network reaches

Cause: whoever reached an operators' address could drain a process. Up to two operator keys, compared in constant time, guard it; without a key the address must be a loopback one, or the settings are refused. Measured: the settings' cases pass, each bad field named; gooseberryctl's tests pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,7 +156,7 @@
 func (e *Entry) build(fleetAddress string) {
 	s := &e.settings
 	e.address = fleetAddress
-	e.http = fleet.NewClient(access.NewFleetKeys(s.FleetKeys...), s.DialOverrides)
+	e.http = fleet.NewClient(access.NewKeys(s.FleetKeys...), s.DialOverrides)
 	self := route.Self{Name: s.Name, VM: s.VM, Region: s.Region, DataCentre: s.DataCentre, Address: fleetAddress}
 	e.route = route.NewRouter(self, e.store, e.vms, e.random)
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -68,7 +68,7 @@
 	e.build(peers.Addr().String())
 	e.serve(callers, e.callerHandler())
 	e.serve(peers, e.fleetHandler())
-	e.serve(operators, operator.NewHandler(e.metrics, func() any { return e.state() }, e.Drain))
+	e.serve(operators, operator.NewHandler(e.settings.OperatorKeys, e.metrics, func() any { return e.state() }, e.Drain))
 	e.log.Info(event.Listening, "caller_address", callers.Addr().String(),
 		"fleet_address", peers.Addr().String(), "operator_address", operators.Addr().String())
 	return nil
@@ -103,7 +103,7 @@
 	mux.Handle(keeping.PathPrefix(), keeping)
 	peers := fleetv1.NewPeersServer(newPeers(e))
 	mux.Handle(peers.PathPrefix(), peers)
-	return access.NewFleetKeys(e.settings.FleetKeys...).Require(mux)
+	return access.NewKeys(e.settings.FleetKeys...).Require(mux)
 }
 
 // finishRequests waits until nothing runs and no answer waits for its caller.
--- a/gooseberryctl/dump.go
+++ b/gooseberryctl/dump.go
@@ -4,10 +4,17 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
 
+const (
+	// operatorKeyVariable names the environment variable with the key for operators' addresses.
+	operatorKeyVariable = "GOOSEBERRY_OPERATOR_KEY"
+)
+
 type (
 	// DumpCommand prints the state of a process.
 	DumpCommand struct {
@@ -38,6 +45,11 @@
 	return o.print(map[string]string{"draining": c.Address}, []string{"DRAINING"}, [][]string{{c.Address}})
 }
 
+// operatorKey returns the key for the operators' addresses, if there is one.
+func operatorKey() string {
+	return strings.TrimSpace(os.Getenv(operatorKeyVariable))
+}
+
 // request sends one request to an operators' address.
 func request(ctx context.Context, method, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -46,6 +58,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, address)
 	}
+	if key := operatorKey(); key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return nil, eris.Wrap(err, address)
--- a/gooseberryctl/fleet.go
+++ b/gooseberryctl/fleet.go
@@ -93,19 +93,19 @@
 	return askAll(list.VMs, func(v vm.VM) Process { return askPeer(ctx, client, v) }), nil
 }
 
-func (s *Source) keys() (access.FleetKeys, error) {
+func (s *Source) keys() (access.Keys, error) {
 	key := s.FleetKey
 	if s.FleetKeyFile != "" {
 		content, err := os.ReadFile(s.FleetKeyFile)
 		if err != nil {
-			return access.FleetKeys{}, eris.Wrap(err, "fleet key")
+			return access.Keys{}, eris.Wrap(err, "fleet key")
 		}
 		key = strings.TrimSpace(string(content))
 	}
 	if key == "" {
-		return access.FleetKeys{}, eris.New("give the fleet key by --fleet-key-file or GOOSEBERRY_FLEET_KEY")
+		return access.Keys{}, eris.New("give the fleet key by --fleet-key-file or GOOSEBERRY_FLEET_KEY")
 	}
-	return access.NewFleetKeys(key), nil
+	return access.NewKeys(key), nil
 }
 
 // published returns the revision that the platform serves, or 0 when it isn't known.
--- a/gooseberryctl/gooseberryctl.go
+++ b/gooseberryctl/gooseberryctl.go
@@ -20,7 +20,9 @@
 	version     = "0.1.0"
 	description = `Operators' client of gooseberrypin.
 
-Exit codes: 0 all is well; 1 faults were found, a revision is not in force everywhere, or an address did not answer; 2 the command line is wrong.`
+Exit codes: 0 all is well; 1 faults were found, a revision is not in force everywhere, or an address did not answer; 2 the command line is wrong.
+
+Operators' addresses that want a key get it from the environment variable GOOSEBERRY_OPERATOR_KEY.`
 )
 
 type (
--- a/gooseberryctl/gooseberryctl_test.go
+++ b/gooseberryctl/gooseberryctl_test.go
@@ -76,7 +76,7 @@
 	for _, p := range processes {
 		protocols := new(http.Protocols)
 		protocols.SetUnencryptedHTTP2(true)
-		s := httptest.NewUnstartedServer(access.NewFleetKeys(fleetKey).Require(fleetv1.NewPeersServer(p)))
+		s := httptest.NewUnstartedServer(access.NewKeys(fleetKey).Require(fleetv1.NewPeersServer(p)))
 		s.Config.Protocols = protocols
 		s.Start()
 		t.Cleanup(s.Close)
--- a/router/access/access.go
+++ b/router/access/access.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// MaxFleetKeys is the number of fleet keys that may be valid at once, for rotation.
-	MaxFleetKeys = 2
+	// MaxKeys is the number of keys of one kind that may be valid at once, for rotation.
+	MaxKeys      = 2
 	bearerPrefix = "Bearer "
 )
 
 type (
-	// FleetKeys are the keys of the system's own processes. They are never printed.
-	FleetKeys struct {
+	// Keys are those of the system's own processes, or of the operators. They are never printed.
+	Keys struct {
 		digests [][sha256.Size]byte
 		first   string
 	}
@@ -28,47 +28,47 @@
 	}
 )
 
-// NewFleetKeys returns keys of which the first one is sent and each is accepted.
-func NewFleetKeys(keys ...string) FleetKeys {
-	f := FleetKeys{}
+// NewKeys returns keys of which the first one is sent and each is accepted.
+func NewKeys(keys ...string) Keys {
+	k := Keys{}
 	for _, key := range keys {
-		f.digests = append(f.digests, sha256.Sum256([]byte(key)))
+		k.digests = append(k.digests, sha256.Sum256([]byte(key)))
 	}
 	if len(keys) > 0 {
-		f.first = keys[0]
+		k.first = keys[0]
 	}
-	return f
+	return k
 }
 
 // String hides the keys.
-func (FleetKeys) String() string {
+func (Keys) String() string {
 	return "(hidden)"
 }
 
 // Accepts compares a key in constant time.
-func (f FleetKeys) Accepts(key string) bool {
+func (k Keys) Accepts(key string) bool {
 	digest := sha256.Sum256([]byte(key))
 	accepted := 0
-	for i := range f.digests {
-		accepted |= subtle.ConstantTimeCompare(digest[:], f.digests[i][:])
+	for i := range k.digests {
+		accepted |= subtle.ConstantTimeCompare(digest[:], k.digests[i][:])
 	}
 	return accepted == 1
 }
 
-// Require answers 401 to requests without a fleet key.
-func (f FleetKeys) Require(next http.Handler) http.Handler {
+// Require answers 401 to requests without a valid key.
+func (k Keys) Require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !f.Accepts(Bearer(r.Header)) {
-			http.Error(w, "the fleet key is missing or wrong", http.StatusUnauthorized)
+		if !k.Accepts(Bearer(r.Header)) {
+			http.Error(w, "the key is missing or wrong", http.StatusUnauthorized)
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// Transport adds the first fleet key to each request.
-func (f FleetKeys) Transport(next http.RoundTripper) http.RoundTripper {
-	return &transport{next: next, key: f.first}
+// Transport adds the first key to each request.
+func (k Keys) Transport(next http.RoundTripper) http.RoundTripper {
+	return &transport{next: next, key: k.first}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/router/adapter/fleet/fleet.go
+++ b/router/adapter/fleet/fleet.go
@@ -22,7 +22,7 @@
 
 // NewClient returns a client that sends the fleet key. Overrides map a published
 // address to the one that is dialled.
-func NewClient(keys access.FleetKeys, overrides map[string]string) *http.Client {
+func NewClient(keys access.Keys, overrides map[string]string) *http.Client {
 	return &http.Client{Transport: keys.Transport(NewTransport(overrides))}
 }
 
--- a/router/adapter/operator/operator.go
+++ b/router/adapter/operator/operator.go
@@ -6,11 +6,13 @@
 	"expvar"
 	"fmt"
 	"net/http"
+
+	"gooseberrypin.example/router/access"
 )
 
-// NewHandler returns the operators' pages: /debug/vars, /debug/state and, when
-// drain is set, POST /drain.
-func NewHandler(metrics *expvar.Map, state func() any, drain func()) http.Handler {
+// NewHandler returns the operators' pages: /debug/vars, /debug/state and, when drain is
+// set, POST /drain. They want one of the keys, if there are any.
+func NewHandler(keys []string, metrics *expvar.Map, state func() any, drain func()) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -30,5 +32,8 @@
 			w.WriteHeader(http.StatusAccepted)
 		})
 	}
-	return mux
+	if len(keys) == 0 {
+		return mux
+	}
+	return access.NewKeys(keys...).Require(mux)
 }
--- a/router/adapter/sidecar/sidecar_test.go
+++ b/router/adapter/sidecar/sidecar_test.go
@@ -21,7 +21,7 @@
 	address := l.Addr().String()
 	server := fleet.NewServer(http.NotFoundHandler())
 	go func() { _ = server.Serve(l) }()
-	c := sidecar.NewClient(fleet.NewClient(access.NewFleetKeys("key-for-the-test-only"), nil))
+	c := sidecar.NewClient(fleet.NewClient(access.NewKeys("key-for-the-test-only"), nil))
 	_, err = c.Claim(context.Background(), address, claim.Request{})
 	if err == nil || errors.Is(err, claim.ErrDown) {
 		t.Fatalf("a home that runs: %v", err)
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	minFleetKeyBytes = 16
+	minKeyBytes = 16
 )
 
 type (
@@ -38,6 +38,9 @@
 		PeerAddresses []string `json:"peer_addresses"`
 		// FleetKeys are one or two keys; the first is sent, each is accepted.
 		FleetKeys []string `json:"fleet_keys"`
+		// OperatorKeys are up to two keys for the operators' address. Without one, that
+		// address must be a loopback address.
+		OperatorKeys []string `json:"operator_keys,omitempty"`
 		// DialOverrides maps a published address to the one that is dialled.
 		DialOverrides map[string]string `json:"dial_overrides"`
 		// Seed makes random choices repeatable. Zero draws a seed.
@@ -92,16 +95,29 @@
 }
 
 func (p *Process) checkKeys(f *Faults) {
-	if len(p.FleetKeys) < 1 || len(p.FleetKeys) > access.MaxFleetKeys {
-		f.Addf("fleet_keys: want 1 to %d keys, have %d", access.MaxFleetKeys, len(p.FleetKeys))
+	f.keys("fleet_keys", 1, p.FleetKeys)
+	f.keys("operator_keys", 0, p.OperatorKeys)
+	if len(p.OperatorKeys) == 0 && !loopback(p.OperatorAddress) {
+		f.Addf("operator_keys: missing, and operator_address %q is no loopback address", p.OperatorAddress)
 	}
-	for i, key := range p.FleetKeys {
-		if len(key) < minFleetKeyBytes {
-			f.Addf("fleet_keys[%d]: shorter than %d bytes", i, minFleetKeyBytes)
+}
+
+func (f *Faults) keys(field string, least int, keys []string) {
+	if len(keys) < least || len(keys) > access.MaxKeys {
+		f.Addf("%s: want %d to %d keys, have %d", field, least, access.MaxKeys, len(keys))
+	}
+	for i, key := range keys {
+		if len(key) < minKeyBytes {
+			f.Addf("%s[%d]: shorter than %d bytes", field, i, minKeyBytes)
 		}
 	}
 }
 
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host).IsLoopback()
+}
+
 // Addf adds a fault.
 func (f *Faults) Addf(format string, args ...any) {
 	f.List = append(f.List, fmt.Sprintf(format, args...))
--- a/scenario/capacity/message.go
+++ b/scenario/capacity/message.go
@@ -103,7 +103,7 @@
 }
 
 func newExchange() (*exchange, error) {
-	keys := access.NewFleetKeys("a fleet key for the measurement")
+	keys := access.NewKeys("a fleet key for the measurement")
 	x := &exchange{peer: &silentPeer{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -46,7 +46,7 @@
 		platform     port.Platform
 		client       *http.Client
 		peers        port.Peers
-		keys         access.FleetKeys
+		keys         access.Keys
 		store        *configuration.Store
 		vms          *vm.Table
 		reader       *subscription.Reader
@@ -102,7 +102,7 @@
 		log:      log,
 		random:   random,
 		started:  time.Now(),
-		keys:     access.NewFleetKeys(s.FleetKeys...),
+		keys:     access.NewKeys(s.FleetKeys...),
 		engine:   engineclient.NewClient(s.UpstreamAddress, s.OrderKey),
 		platform: platform.NewClient(s.PlatformAddress, http.DefaultClient),
 		store:    configuration.NewStore(),
@@ -157,7 +157,7 @@
 
 // OperatorHandler serves metrics, the state dump and drain.
 func (c *Sidecar) OperatorHandler(drain func()) http.Handler {
-	return operator.NewHandler(c.metrics, func() any { return c.State() }, drain)
+	return operator.NewHandler(c.settings.OperatorKeys, c.metrics, func() any { return c.State() }, drain)
 }
 
 // Run works until the context ends.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -96,7 +96,7 @@
 	for _, role := range roles {
 		b.start(t, role, p, listeners[role])
 	}
-	b.http = fleet.NewClient(access.NewFleetKeys(fleetKey), nil)
+	b.http = fleet.NewClient(access.NewKeys(fleetKey), nil)
 	b.sidecars = sidecarclient.NewClient(b.http)
 	return b
 }
