Bound the pairs of an entry, and halve the digests that each heartbeat carries

Cause: at the target size an entry would talk to 16 upstreams of each of 26 pools, send 78 bytes for each attempt twice a second, and keep the prompts of delivered answers for ten minutes (33,400 of them). Delivered records drop their prompts.

--- a/router/decode/decode_test.go
+++ b/router/decode/decode_test.go
@@ -179,7 +179,7 @@
 			for i := range members {
 				members[i] = subset.Member{Name: fmt.Sprintf("decode-%d", i), DataCentre: fmt.Sprint(i % 19)}
 			}
-			candidates := subset.Select("entry", "0", members, subset.DefaultSize)
+			candidates := subset.Select("entry", "0", members, subset.MaxSize)
 			c := decode.NewChooser(rand.New(rand.NewPCG(1, 2)))
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/router/prefill/chooser_test.go
+++ b/router/prefill/chooser_test.go
@@ -127,7 +127,7 @@
 			for i := range members {
 				members[i] = subset.Member{Name: fmt.Sprintf("prefill-%d", i), DataCentre: fmt.Sprint(i % 19)}
 			}
-			candidates := subset.Select("entry", "0", members, subset.DefaultSize)
+			candidates := subset.Select("entry", "0", members, subset.MaxSize)
 			c := newChooser()
 			blocks := make([]uint64, 4096)
 			for i := range blocks {
@@ -155,7 +155,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		c := newChooser()
-		for i := range subset.DefaultSize {
+		for i := range subset.MaxSize {
 			c.ObserveCache(fmt.Sprint(i), blocks)
 		}
 	}
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -170,6 +170,7 @@
 	}
 	r.delivered = true
 	r.tokens = nil
+	r.Generation.Prompt = ""
 	r.wake()
 }
 
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -13,6 +13,8 @@
 
 const (
 	bytesPerToken = 4
+	// digestBytes of a SHA-256 identify keys and contents; they stand in each heartbeat.
+	digestBytes = 16
 )
 
 type (
@@ -100,7 +102,7 @@
 	for _, p := range parts {
 		writePart(h, p)
 	}
-	return hex.EncodeToString(h.Sum(nil))
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
 func writePart(h hash.Hash, part string) {
--- a/router/route/route.go
+++ b/router/route/route.go
@@ -228,7 +228,7 @@
 			members = append(members, subset.Member{Name: u.Name, DataCentre: u.DataCentre})
 		}
 	}
-	selected = subset.Select(r.self.Name, r.self.DataCentre, members, subset.DefaultSize)
+	selected = subset.Select(r.self.Name, r.self.DataCentre, members, subset.Size(len(index.Configuration().Pools)))
 	r.subsets[pool] = selected
 	return selected
 }
--- a/router/subset/subset.go
+++ b/router/subset/subset.go
@@ -6,8 +6,13 @@
 )
 
 const (
-	// DefaultSize is the number of upstreams of a pool that a process talks to.
-	DefaultSize = 16
+	// MaxSize and MinSize bound the number of upstreams of a pool that a process talks to.
+	MaxSize = 16
+	MinSize = 4
+
+	// pairs is the number of upstreams of all pools that a process talks to, unless there
+	// are so many pools that MinSize goes before it.
+	pairs = 104
 )
 
 type (
@@ -18,6 +23,12 @@
 	}
 )
 
+// Size returns the number of upstreams of each pool that a process talks to, so that its
+// heartbeats don't grow with the number of pools.
+func Size(pools int) int {
+	return min(max(pairs/max(1, pools), MinSize), MaxSize)
+}
+
 // Select returns up to size members for a process, those of its own data centre first.
 // Each process ranks by its own name, so that the pool's load spreads evenly.
 func Select(process, dataCentre string, members []Member, size int) []string {
--- a/router/subset/subset_test.go
+++ b/router/subset/subset_test.go
@@ -31,13 +31,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			all := members(test.members)
-			got := subset.Select("entry-1", "1", all, subset.DefaultSize)
+			got := subset.Select("entry-1", "1", all, subset.MaxSize)
 			is.Equal(len(got), test.want)
 			near := slices.DeleteFunc(slices.Clone(all), func(m subset.Member) bool { return m.DataCentre != "1" })
 			for _, name := range got[:min(test.near, len(near))] {
 				is.True(slices.ContainsFunc(near, func(m subset.Member) bool { return m.Name == name }))
 			}
-			is.Equal(got, subset.Select("entry-1", "1", all, subset.DefaultSize)) // the same each time
+			is.Equal(got, subset.Select("entry-1", "1", all, subset.MaxSize)) // the same each time
 		})
 	}
 }
@@ -46,16 +46,16 @@
 func TestSelectReplaces(t *testing.T) {
 	is := is.New(t)
 	all := members(2100)
-	before := subset.Select("entry-1", "1", all, subset.DefaultSize)
+	before := subset.Select("entry-1", "1", all, subset.MaxSize)
 	left := slices.DeleteFunc(all, func(m subset.Member) bool { return m.Name == before[3] })
-	after := subset.Select("entry-1", "1", left, subset.DefaultSize)
+	after := subset.Select("entry-1", "1", left, subset.MaxSize)
 	kept := 0
 	for _, name := range after {
 		if slices.Contains(before, name) {
 			kept++
 		}
 	}
-	is.Equal(kept, subset.DefaultSize-1)
+	is.Equal(kept, subset.MaxSize-1)
 }
 
 // BenchmarkSelect runs once for each change of a pool, not for a request.
@@ -65,7 +65,7 @@
 			all := members(servers)
 			b.ReportAllocs()
 			for b.Loop() {
-				subset.Select("entry-1", "1", all, subset.DefaultSize)
+				subset.Select("entry-1", "1", all, subset.MaxSize)
 			}
 		})
 	}
