Give moved keys their records before they may run

Cause: a home acknowledged a move even when its records could not be given over, so kept results became unknown; a hand-over was one message of any size.

--- a/router/booking/handover.go
+++ b/router/booking/handover.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+const (
+	// maxPartRecords and maxPartBytes bound one message of a hand-over.
+	maxPartRecords = 500
+	maxPartBytes   = 512 << 10
+)
+
 type (
 	// HandOver carries records to the next home of their keys.
 	HandOver struct {
@@ -43,6 +49,22 @@
 	return list
 }
 
+// Parts cuts a hand-over into messages of a bounded size. Only the last one is whole.
+func (o HandOver) Parts() []HandOver {
+	var parts []HandOver
+	first, size := 0, 0
+	for i := range o.Records {
+		size += len(o.Records[i].Result.Body)
+		if next := i + 1; next-first >= maxPartRecords || size >= maxPartBytes {
+			parts = append(parts, o.part(first, next))
+			first, size = next, 0
+		}
+	}
+	last := o.part(first, len(o.Records))
+	last.Whole = o.Whole
+	return append(parts, last)
+}
+
 // Stop refuses new keys from now on. Records still answer.
 func (h *Home) Stop() {
 	h.mu.Lock()
@@ -96,6 +118,11 @@
 	return accepted
 }
 
+func (o HandOver) part(first, end int) HandOver {
+	o.Records, o.Whole = o.Records[first:end], false
+	return o
+}
+
 // take keeps a record unless a better one is here. It tells whether the key is covered.
 func (h *Home) take(r *Record, now time.Time) bool {
 	if r.Created.Before(now.Add(-h.horizon)) {
--- a/router/booking/home.go
+++ b/router/booking/home.go
@@ -165,7 +165,7 @@
 		return Refused{Refusal: refusal.New(refusal.RanNo, refusal.Tombstoned, 0, "the answer was lost")}
 	}
 	if !h.owns(c, now) || h.draining {
-		return Refused{Refusal: h.unowned(c)}
+		return Refused{Refusal: h.undecided(c)}
 	}
 	if !h.table.reserve() {
 		return Refused{Refusal: refusal.New(refusal.RanUnknown, refusal.TableFull, 0, "the table of records is full")}
--- a/router/booking/home_test.go
+++ b/router/booking/home_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+func TestParts(t *testing.T) {
+	large := booking.Result{Body: make([]byte, 300<<10)}
+	cases := map[string]struct {
+		records []booking.Record
+		want    []int
+	}{
+		"none":  {want: []int{0}},
+		"few":   {records: make([]booking.Record, 3), want: []int{3}},
+		"many":  {records: make([]booking.Record, 1100), want: []int{500, 500, 100}},
+		"large": {records: []booking.Record{{Result: large}, {Result: large}, {Result: large}}, want: []int{2, 1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var have []int
+			parts := booking.HandOver{Whole: true, Records: c.records}.Parts()
+			for i, p := range parts {
+				have = append(have, len(p.Records))
+				is.Equal(p.Whole, i == len(parts)-1) // only the last part is whole
+			}
+			is.Equal(have, c.want)
+		})
+	}
+}
+
 // settledHome returns a home with room for one record. At revision 2 the rule of the
 // service moved to its pool, and the pool's other member left.
 func settledHome(now time.Time) *booking.Home {
--- a/router/booking/ownership.go
+++ b/router/booking/ownership.go
@@ -18,7 +18,7 @@
 		return h.unowned(c)
 	}
 	if !c.Created.After(h.floor(c)) {
-		return refusal.New(refusal.RanUnknown, refusal.KeyTooOld, 0, "the key is older than the records of its home")
+		return h.undecided(c)
 	}
 	if h.draining || h.leaving {
 		return refusal.New(refusal.RanNo, refusal.Leaving, leavingRetry, "the upstream is stopping")
@@ -53,6 +53,14 @@
 		"%s can't tell yet at revision %d whether the key ran elsewhere", h.self.Upstream, h.revision)
 }
 
+// undecided refuses a key of which this sidecar can't say whether it ran.
+func (h *Home) undecided(c Call) *refusal.Refusal {
+	if !h.homed(c) || h.draining {
+		return h.unowned(c)
+	}
+	return refusal.New(refusal.RanUnknown, refusal.KeyTooOld, 0, "the key is outside of the times that its home's records cover")
+}
+
 // floor returns the creation time up to which a key may have run without a record here.
 func (h *Home) floor(c Call) time.Time {
 	floor := h.pools[c.Pool].since(c.Key, h.self).Add(h.widest + ClockBound)
--- a/sidecar/service/service.go
+++ b/sidecar/service/service.go
@@ -44,8 +44,8 @@
 		metrics  *expvar.Map
 		active   atomic.Int32
 		draining atomic.Bool
-		// moved are the hand-overs that were taken already.
-		moved   map[move]bool
+		// moved are the hand-overs that were begun.
+		moved   map[move]moved
 		movedMu sync.Mutex
 	}
 
@@ -71,6 +71,11 @@
 		pool     string
 		revision int64
 	}
+
+	moved struct {
+		since time.Time
+		done  bool
+	}
 )
 
 // WithService sets the way to the service, for tests.
@@ -96,7 +101,7 @@
 		peers:   adapter.NewClient(fleet),
 		log:     log,
 		metrics: new(expvar.Map).Init(),
-		moved:   make(map[move]bool),
+		moved:   make(map[move]moved),
 	}
 	if c.pause <= 0 {
 		c.pause = defaultPause
--- a/sidecar/service/service_test.go
+++ b/sidecar/service/service_test.go
@@ -28,6 +28,7 @@
 	fleet struct {
 		mu       sync.Mutex
 		runs     int
+		broken   bool
 		next     port.ServiceOutcome
 		took     time.Duration
 		store    *configuration.Store
@@ -68,6 +69,12 @@
 }
 
 func (f *fleet) HandOver(ctx context.Context, to booking.Member, o booking.HandOver) (int, error) {
+	f.mu.Lock()
+	broken := f.broken
+	f.mu.Unlock()
+	if broken {
+		return 0, errors.New("broken")
+	}
 	a, err := f.sidecar(to.VM).HandOver(ctx, adapter.FromHandOver(o))
 	return int(a.GetAccepted()), err
 }
@@ -111,6 +118,12 @@
 	return f
 }
 
+func (f *fleet) setBroken(broken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken = broken
+}
+
 // start replaces a sidecar by a new one without records.
 func (f *fleet) start(name string) {
 	s := service.New(service.Settings{Upstream: name, VM: name}, f.store, f.vms, nil, event.Discard(),
@@ -134,9 +147,9 @@
 	return describe(m, err)
 }
 
-func (f *fleet) tombstone(at, key string, created time.Time) string {
+func (f *fleet) tombstone(at, key string, created time.Time, revision int64) string {
 	m, err := f.sidecar(at).Tombstone(context.Background(), &fleetv1.TombstoneRequest{
-		KeyDigest: key, KeyCreatedUnixMs: created.UnixMilli(), ContentDigest: "c", Pool: "desk", Revision: 1,
+		KeyDigest: key, KeyCreatedUnixMs: created.UnixMilli(), ContentDigest: "c", Pool: "desk", Revision: revision,
 	})
 	return describe(m, err)
 }
@@ -175,6 +188,7 @@
 	tombstoned := fmt.Sprintf("%s %s", callerv1.Reason_REASON_TOMBSTONED, callerv1.Ran_RAN_NO)
 	unsettled := fmt.Sprintf("%s %s", callerv1.Reason_REASON_HOME_UNSETTLED, callerv1.Ran_RAN_UNKNOWN)
 	inProgress := fmt.Sprintf("%s %s", callerv1.Reason_REASON_IN_PROGRESS, callerv1.Ran_RAN_UNKNOWN)
+	tooOld := fmt.Sprintf("%s %s", callerv1.Reason_REASON_KEY_TOO_OLD, callerv1.Ran_RAN_UNKNOWN)
 	leaving := fmt.Sprintf("%s %s", callerv1.Reason_REASON_LEAVING, callerv1.Ran_RAN_NO)
 	cases := map[string]struct {
 		play func(f *fleet) []string
@@ -218,7 +232,7 @@
 		},
 		"a tombstone, then the run": {
 			play: func(f *fleet) []string {
-				return []string{f.tombstone("a", "k", time.Now()), f.run(context.Background(), "a", "k", 1)}
+				return []string{f.tombstone("a", "k", time.Now(), 1), f.run(context.Background(), "a", "k", 1)}
 			},
 			want: []string{tombstoned, tombstoned}, runs: 0,
 		},
@@ -228,14 +242,14 @@
 				created := time.Now()
 				go func() { first <- f.run(context.Background(), "a", "k", 1) }()
 				synctest.Wait()
-				second := f.tombstone("a", "k", created)
+				second := f.tombstone("a", "k", created, 1)
 				return []string{<-first, second}
 			},
 			want: []string{fresh, replayed}, runs: 1,
 		},
 		"not the home": {
 			play: func(f *fleet) []string {
-				return []string{f.run(context.Background(), "b", "k", 1), f.tombstone("b", "k", time.Now())}
+				return []string{f.run(context.Background(), "b", "k", 1), f.tombstone("b", "k", time.Now(), 1)}
 			},
 			want: []string{unsettled, unsettled}, runs: 0,
 		},
@@ -258,6 +272,30 @@
 			},
 			want: []string{fresh, leaving, replayed}, runs: 1,
 		},
+		"a move waits for its records": {
+			play: func(f *fleet) []string {
+				first := f.run(context.Background(), "a", "k", 1)
+				f.setBroken(true)
+				f.publish(t, 2, "b")
+				<-time.After(time.Second)
+				second := f.run(context.Background(), "b", "k", 2)
+				f.setBroken(false)
+				<-time.After(time.Second)
+				return []string{first, second, f.run(context.Background(), "b", "k", 2)}
+			},
+			want: []string{fresh, unsettled, replayed}, runs: 1,
+		},
+		"a move goes on without its records": {
+			play: func(f *fleet) []string {
+				first := f.run(context.Background(), "a", "k", 1)
+				created := time.Now()
+				f.setBroken(true)
+				f.publish(t, 2, "b")
+				<-time.After(10 * time.Second)
+				return []string{first, f.tombstone("b", "k", created, 2), f.run(context.Background(), "b", "other", 2)}
+			},
+			want: []string{fresh, tooOld, fresh}, runs: 2,
+		},
 		"planned stops and new starts": {
 			play: func(f *fleet) []string {
 				f.publish(t, 2, "a", "b")
--- a/sidecar/service/settle.go
+++ b/sidecar/service/settle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -16,18 +15,17 @@
 )
 
 const (
-	askInterval     = 100 * time.Millisecond
-	askTimeout      = 800 * time.Millisecond
-	handOverTimeout = 2 * time.Second
-	maxQuestions    = 16
+	askInterval  = 100 * time.Millisecond
+	askTimeout   = 800 * time.Millisecond
+	maxQuestions = 16
 )
 
 // Acknowledge implements fleetv1.Bookings. Records that moved to the sender go first.
 func (c *Sidecar) Acknowledge(ctx context.Context, r *fleetv1.AcknowledgeRequest) (*fleetv1.AcknowledgeResponse, error) {
 	c.sync()
 	a := c.home.Acknowledge(r.GetFrom(), r.GetRevision(), time.Now())
-	if a.Revision >= r.GetRevision() && a.Running == 0 {
-		c.move(ctx, r.GetFrom())
+	if a.Revision >= r.GetRevision() && a.Running == 0 && !c.move(ctx, r.GetFrom()) {
+		a.Running++
 	}
 	return &fleetv1.AcknowledgeResponse{
 		Revision:      a.Revision,
@@ -131,63 +129,6 @@
 	}
 }
 
-// move gives the records of moved keys to an upstream that asks, once for each layout.
-func (c *Sidecar) move(ctx context.Context, to string) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout/2)
-	defer cancel()
-	m, found := c.member(to)
-	if !found {
-		return
-	}
-	for _, o := range c.home.Moves(to) {
-		key := move{to: to, pool: o.Pool, revision: o.Revision}
-		if c.wasMoved(key) {
-			continue
-		}
-		if c.handOver(ctx, m, o) {
-			c.setMoved(key)
-		}
-	}
-}
-
-func (c *Sidecar) leaveTo(ctx context.Context, to booking.Member, list []booking.HandOver) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	for _, o := range list {
-		c.handOver(ctx, to, o)
-	}
-}
-
-func (c *Sidecar) handOver(ctx context.Context, to booking.Member, o booking.HandOver) bool {
-	accepted, err := c.peers.HandOver(ctx, to, o)
-	if err != nil {
-		c.log.Error(err, event.BookingHandOverFailed, "to", to.VM, "pool", o.Pool, "records", len(o.Records))
-		return false
-	}
-	c.metrics.Add("records_handed_over", int64(accepted))
-	c.log.Info(event.BookingHandedOver, "to", to.VM, "pool", o.Pool, "accepted", accepted, "records", len(o.Records))
-	return accepted == len(o.Records)
-}
-
-func (c *Sidecar) wasMoved(key move) bool {
-	c.movedMu.Lock()
-	defer c.movedMu.Unlock()
-	return c.moved[key]
-}
-
-func (c *Sidecar) setMoved(key move) {
-	c.movedMu.Lock()
-	defer c.movedMu.Unlock()
-	c.moved[key] = true
-}
-
-// forgetMoves lets an upstream that gave records away have them again.
-func (c *Sidecar) forgetMoves(to string) {
-	c.movedMu.Lock()
-	defer c.movedMu.Unlock()
-	maps.DeleteFunc(c.moved, func(m move, _ bool) bool { return m.to == to })
-}
-
 // upstream returns the own upstream in the configuration in force, or nil.
 func (c *Sidecar) upstream() *configuration.Upstream {
 	s := c.store.Current()
