--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -28,6 +28,8 @@
 		arguments []string
 		ready     int
 		log       *logCollector
+		// ended is called after each end of the process.
+		ended func()
 
 		mu     sync.Mutex
 		run    *exec.Cmd
@@ -139,6 +141,11 @@
 	return p.log.lastLines()
 }
 
+// Events returns how often each numbered event stands in the log.
+func (p *Process) Events() map[int]int {
+	return p.log.eventCounts()
+}
+
 // Faults returns the lines of the log that report a data race or a panic.
 func (p *Process) Faults() []string {
 	return p.log.faultLines()
@@ -169,6 +176,9 @@
 	p.run = nil
 	p.frozen = false
 	p.mu.Unlock()
+	if p.ended != nil {
+		p.ended()
+	}
 	close(exited)
 }
 
