Compress what peers read once, not for each of them

Cause: at the target size a holder answers some 72 processes with the same VM list of 357 KB; each answer was compressed anew. Ruled out: compression by the transport, which would repeat it for each answer.

--- a/router/adapter/peer/peer.go
+++ b/router/adapter/peer/peer.go
@@ -2,10 +2,7 @@
 package peer
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,11 +13,6 @@
 	"gooseberrypin.example/router/port"
 )
 
-const (
-	// maxBytes bounds a manifest, VM list or part after decompression.
-	maxBytes = 4 << 20
-)
-
 type (
 	// Source serves what a process knows. subscription.Reader implements it.
 	Source interface {
@@ -37,6 +29,7 @@
 	// compressed by gzip. A process embeds it and adds Heartbeat.
 	Publisher struct {
 		source Source
+		packer packer
 	}
 )
 
@@ -83,12 +76,12 @@
 func (p *Publisher) Watch(ctx context.Context, request *fleetv1.WatchRequest) (*fleetv1.WatchResponse, error) {
 	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
 	u := p.source.Watch(ctx, ToView(request.GetView()), wait)
-	return &fleetv1.WatchResponse{View: FromView(u.View), Manifest: pack(u.Manifest), Vms: pack(u.VMs)}, nil
+	return &fleetv1.WatchResponse{View: FromView(u.View), Manifest: p.packer.pack(u.Manifest), Vms: p.packer.pack(u.VMs)}, nil
 }
 
 // Part implements the service Peers.
 func (p *Publisher) Part(_ context.Context, request *fleetv1.PartRequest) (*fleetv1.PartResponse, error) {
-	return &fleetv1.PartResponse{Content: pack(p.source.Part(request.GetSha256()))}, nil
+	return &fleetv1.PartResponse{Content: p.packer.pack(p.source.Part(request.GetSha256()))}, nil
 }
 
 // FromView returns the message of a view.
@@ -100,32 +93,3 @@
 func ToView(m *fleetv1.View) port.View {
 	return port.View{Revision: m.GetRevision(), Digest: m.GetDigest(), VMsVersion: m.GetVmsVersion()}
 }
-
-func pack(content []byte) []byte {
-	if len(content) == 0 {
-		return nil
-	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	_, _ = w.Write(content)
-	_ = w.Close()
-	return b.Bytes()
-}
-
-func unpack(packed []byte) ([]byte, error) {
-	if len(packed) == 0 {
-		return nil, nil
-	}
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, eris.Wrap(err, "peer")
-	}
-	content, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
-	if err != nil {
-		return nil, eris.Wrap(err, "peer")
-	}
-	if len(content) > maxBytes {
-		return nil, eris.Errorf("peer: more than %d bytes", maxBytes)
-	}
-	return content, nil
-}
