Keep the pace's guess for one batch size

Cause: the mended pace changed what one batch size of ten streams tells (16 in place of 19); its test was right. The flatter of both assumptions is taken now.

--- a/router/decode/pace.go
+++ b/router/decode/pace.go
@@ -87,7 +87,8 @@
 }
 
 // slope returns the growth of a step with the batch. While the batches hardly differ, it
-// assumes the one that the initial limit stands for.
+// assumes that half of a step is due to the batch, but no more than the initial limit
+// stands for.
 func (p *Pace) slope(mean, step float64) float64 {
 	variance := p.batch2/p.weight - mean*mean
 	if variance >= minPaceVariance {
@@ -95,8 +96,9 @@
 			return slope
 		}
 	}
+	slope := step / (2 * mean)
 	if initial := float64(p.initial); mean < initial && step < p.target.Seconds() {
-		return (p.target.Seconds() - step) / (initial - mean)
+		slope = min(slope, (p.target.Seconds()-step)/(initial-mean))
 	}
-	return step / (2 * mean)
+	return slope
 }
--- a/router/subset/subset.go
+++ b/router/subset/subset.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// MaxSize and MinSize bound the number of upstreams of a pool that a process talks to.
+	// MaxSize is the largest number of upstreams of a pool that a process talks to.
 	MaxSize = 16
+	// MinSize is the smallest one, however many pools there are.
 	MinSize = 4
 
 	// pairs is the number of upstreams of all pools that a process talks to, unless there
