--- a/router/claim/holder_test.go
+++ b/router/claim/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 type (
 	// world has two homes, one of which may lose its memory, and links that may be cut.
 	world struct {
+		mu     sync.Mutex
 		tables map[string]*claim.Table
 		down   map[string]bool
 		cut    map[string]bool
@@ -27,6 +29,12 @@
 	}
 )
 
+func (w *world) change(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
 func (s side) reach(address string) error {
 	if s.down[address] {
 		return claim.ErrDown
@@ -38,6 +46,8 @@
 }
 
 func (s side) Claim(_ context.Context, address string, q claim.Request) (claim.Outcome, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.reach(address); err != nil {
 		return nil, err
 	}
@@ -45,6 +55,8 @@
 }
 
 func (s side) Settle(_ context.Context, address, keyDigest string, number uint64, keeper string, answered bool) (claim.Settlement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.reach(address); err != nil {
 		return claim.Unknown, err
 	}
@@ -111,18 +123,22 @@
 			}
 			synctest.Wait()
 		case "stop":
-			if len(w.cut) == 0 {
-				w.down[frail] = true
-				w.tables[frail] = claim.NewTable()
-			}
+			w.change(func() {
+				if len(w.cut) == 0 {
+					w.down[frail] = true
+					w.tables[frail] = claim.NewTable()
+				}
+			})
 		case "start":
-			w.down[frail] = false
+			w.change(func() { w.down[frail] = false })
 		case "cut":
-			if !w.down[frail] {
-				w.cut[who[i]+at[i]] = true
-			}
+			w.change(func() {
+				if !w.down[frail] {
+					w.cut[who[i]+at[i]] = true
+				}
+			})
 		case "heal":
-			clear(w.cut)
+			w.change(func() { clear(w.cut) })
 			<-time.After(time.Minute) // the homes are told what they missed
 		}
 	}
