Keep the KV cache's end on the ticket, and leave the line at once

Cause: a ticket learned the end of its KV cache only when it waited for memory again, so a stalled transfer was judged by the first token's deadline and given up, though the cache lived.

--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -119,7 +119,6 @@
 	if a.ended {
 		return
 	}
-	a.ticket.KVExpires = a.kvExpires
 	k.waiting[a.ticket] = a
 	k.dispatcher.Wait(a.ticket, a.avoid)
 	k.assign()
@@ -183,6 +182,7 @@
 // prefilled goes on to the transfer.
 func (k *keeper) prefilled(a *attempt) {
 	k.dispatcher.Prefilled(a.ticket)
+	a.ticket.KVExpires = a.kvExpires
 	if a.ended {
 		return
 	}
@@ -219,7 +219,10 @@
 		return
 	}
 	a.ended = true
-	delete(k.waiting, a.ticket)
+	if _, waits := k.waiting[a.ticket]; waits {
+		delete(k.waiting, a.ticket)
+		k.dispatcher.End(a.ticket, 0, k.world.clock.now)
+	}
 	k.world.clock.after(hopDelay, func() {
 		a.source.drop(a)
 		if a.dest != nil {
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -25,7 +25,6 @@
 	}
 	a.avoid = append(a.avoid, from)
 	a.dest = nil
-	a.ticket.KVExpires = a.kvExpires
 	a.source.stop(a)
 	if k.dispatcher.TooLate(a.ticket, k.world.clock.now) || !k.budget.Allow() {
 		k.world.tally.shed("move")
