--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -71,15 +71,15 @@
 // begin starts an attempt, with the tokens that the caller already has as part of the
 // prompt, unless it is shed.
 func (k *keeper) begin(r *request) {
-	a := &attempt{request: r, prompt: r.size.prompt}
+	prompt := r.size.prompt
 	if !k.world.policy.naive {
-		a.prompt.Tokens += r.received
+		prompt.Tokens += r.received
 	}
 	ticket, why := k.dispatcher.Admit(dispatch.Request{
 		Key:       r.key,
 		Partner:   r.partner,
 		Weight:    1,
-		Prompt:    a.prompt,
+		Prompt:    prompt,
 		Continued: r.received > 0 && !k.world.policy.naive,
 	}, k.pools(), k.world.clock.now)
 	if why != nil {
@@ -90,7 +90,7 @@
 	if len(r.attempts) == 0 {
 		k.budget.Try()
 	}
-	k.enter(a, ticket)
+	k.enter(&attempt{request: r, prompt: prompt}, ticket)
 }
 
 // enter makes an admitted attempt known and sends it to its prefill server.
--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -127,18 +127,19 @@
 // displaces nobody. A refused request did not run.
 func (d *Dispatcher) Admit(r Request, p Pools, now time.Time) (*Ticket, *refusal.Refusal) {
 	first, again := d.arrivals.First(r.Key, now)
-	t := &Ticket{request: r, Deadline: first.Add(d.firstToken)}
+	deadline := first.Add(d.firstToken)
 	if r.Continued {
-		t.Deadline = now.Add(d.firstToken)
+		deadline = now.Add(d.firstToken)
 	}
 	pressure := d.pressure(p)
-	if now.After(t.Deadline) && pressure > sparePressure {
-		return nil, d.gate.Shed(now.Sub(t.Deadline))
+	if now.After(deadline) && pressure > sparePressure {
+		return nil, d.gate.Shed(now.Sub(deadline))
 	}
 	taken, why := d.share(r, again, pressure, p.Sharers, now)
 	if why != nil {
 		return nil, why
 	}
+	t := &Ticket{request: r, Deadline: deadline}
 	if why := d.forecast(t, p, pressure, now); why != nil {
 		d.limiter.Refund(r.Partner, taken)
 		return nil, why
