--- a/router/bench/keeper.go
+++ b/router/bench/keeper.go
@@ -71,15 +71,15 @@
 // begin starts an attempt, with the tokens that the caller already has as part of the
 // prompt, unless it is shed.
 func (k *keeper) begin(r *request) {
-	a := &attempt{request: r, prompt: r.size.prompt}
+	prompt := r.size.prompt
 	if !k.world.policy.naive {
-		a.prompt.Tokens += r.received
+		prompt.Tokens += r.received
 	}
 	ticket, why := k.dispatcher.Admit(dispatch.Request{
 		Key:       r.key,
 		Partner:   r.partner,
 		Weight:    1,
-		Prompt:    a.prompt,
+		Prompt:    prompt,
 		Continued: r.received > 0 && !k.world.policy.naive,
 	}, k.pools(), k.world.clock.now)
 	if why != nil {
@@ -90,7 +90,7 @@
 	if len(r.attempts) == 0 {
 		k.budget.Try()
 	}
-	k.enter(a, ticket)
+	k.enter(&attempt{request: r, prompt: prompt}, ticket)
 }
 
 // enter makes an admitted attempt known and sends it to its prefill server.
@@ -119,7 +119,6 @@
 	if a.ended {
 		return
 	}
-	a.ticket.KVExpires = a.kvExpires
 	k.waiting[a.ticket] = a
 	k.dispatcher.Wait(a.ticket, a.avoid)
 	k.assign()
@@ -183,6 +182,7 @@
 // prefilled goes on to the transfer.
 func (k *keeper) prefilled(a *attempt) {
 	k.dispatcher.Prefilled(a.ticket)
+	a.ticket.KVExpires = a.kvExpires
 	if a.ended {
 		return
 	}
@@ -219,7 +219,10 @@
 		return
 	}
 	a.ended = true
-	delete(k.waiting, a.ticket)
+	if _, waits := k.waiting[a.ticket]; waits {
+		delete(k.waiting, a.ticket)
+		k.dispatcher.End(a.ticket, 0, k.world.clock.now)
+	}
 	k.world.clock.after(hopDelay, func() {
 		a.source.drop(a)
 		if a.dest != nil {
