--- a/router/adapter/sidecar/sidecar.go
+++ b/router/adapter/sidecar/sidecar.go
@@ -110,13 +110,18 @@
 func (c *client) Claim(ctx context.Context, address string, q claim.Request) (claim.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	m, err := c.peer(address).claims.Claim(ctx, &fleetv1.ClaimRequest{
+	message := &fleetv1.ClaimRequest{
 		KeyDigest:     q.KeyDigest,
 		ContentDigest: q.ContentDigest,
 		Keeper:        q.Keeper,
 		KeeperAddress: q.KeeperAddress,
 		Unreachable:   q.Unreachable,
-	})
+	}
+	m, err := c.peer(address).claims.Claim(ctx, message)
+	if err != nil && ctx.Err() == nil {
+		// A kept connection ends with the home's process; a new one tells whether it runs.
+		m, err = c.peer(address).claims.Claim(ctx, message)
+	}
 	if err != nil {
 		return nil, unreached(err, "claim", address)
 	}
