--- a/router/adapter/sidecar/sidecar_test.go
+++ b/router/adapter/sidecar/sidecar_test.go
@@ -11,7 +11,6 @@
 	"gooseberrypin.example/router/adapter/fleet"
 	"gooseberrypin.example/router/adapter/sidecar"
 	"gooseberrypin.example/router/claim"
-	"gooseberrypin.example/router/port"
 )
 
 func TestHomeThatDoesNotRunIsDown(t *testing.T) {
@@ -22,16 +21,14 @@
 	address := l.Addr().String()
 	server := fleet.NewServer(http.NotFoundHandler())
 	go func() { _ = server.Serve(l) }()
-	newClient := func() port.Sidecars {
-		return sidecar.NewClient(fleet.NewClient(access.NewKeys("key-for-the-test-only"), nil))
-	}
-	_, err = newClient().Claim(context.Background(), address, claim.Request{})
+	c := sidecar.NewClient(fleet.NewClient(access.NewKeys("key-for-the-test-only"), nil))
+	_, err = c.Claim(context.Background(), address, claim.Request{})
 	if err == nil || errors.Is(err, claim.ErrDown) {
 		t.Fatalf("a home that runs: %v", err)
 	}
 	_ = server.Close()
-	// A connection from before may end with EOF, which tells nothing; a new one is refused.
-	if _, err = newClient().Claim(context.Background(), address, claim.Request{}); !errors.Is(err, claim.ErrDown) {
+	// The kept connection may end with EOF, which tells nothing; a new one is refused.
+	if _, err = c.Claim(context.Background(), address, claim.Request{}); !errors.Is(err, claim.ErrDown) {
 		t.Fatalf("a home that was closed: %v", err)
 	}
 }
--- a/scenario/naive_test.go
+++ b/scenario/naive_test.go
@@ -32,6 +32,30 @@
 			script: "configuration_in_force", mechanisms: []string{"entry.peer_configuration", "sidecar.peer_configuration"},
 			want: "state entry1: configuration.revision=2",
 		},
+		"sidecars that keep the leases of silent keepers": {
+			script: "caller_gone", mechanisms: []string{"sidecar.leases"},
+			want: "stats decode1: used_pieces=0",
+		},
+		"sidecars that leave streams of their predecessor": {
+			script: "caller_gone", mechanisms: []string{"sidecar.orphans"},
+			want: "stats decode1: used_pieces=0",
+		},
+		"sidecars that run what crashed engines": {
+			script: "crashing_request", mechanisms: []string{"sidecar.suspects"},
+			want: "reason=quarantined",
+		},
+		"sidecars that order at once": {
+			script: "orders", mechanisms: []string{"sidecar.orders"},
+			want: "engine.reshaping=true",
+		},
+		"sidecars that run each booking they get": {
+			script: "at_most_once", mechanisms: []string{"sidecar.bookings"},
+			want: "runs service1,service2",
+		},
+		"sidecars that forget what they ran": {
+			script: "refused_did_not_run", mechanisms: []string{"sidecar.bookings"},
+			want: "answer a1: state=refused",
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
