Take the memory from the engine's report, and idle cheaper

Now: memory follows the report while nothing is held, the pace follows the configured time between tokens, two unanswered probes in a row refuse new work, and the queue ticks only while it has items. Found: two tests failed after the change of intervals. TestOrders was right: a slow probe could replace a newer report and an order was given twice; probes take turns now. Ruled out: a mutex for the turns of probes; a blocked one stops the tests' clock.

--- a/router/event/engine.go
+++ b/router/event/engine.go
@@ -20,4 +20,6 @@
 	Suspected = Event{Number: 3008, Text: "crash suspects"}
 	// Resumed tells that the process was paused.
 	Resumed = Event{Number: 3009, Text: "resumed after a pause"}
+	// EngineSilent tells that the engine accepts connections but doesn't answer.
+	EngineSilent = Event{Number: 3010, Text: "engine silent"}
 )
--- a/sidecar/engine/admit.go
+++ b/sidecar/engine/admit.go
@@ -117,10 +117,10 @@
 	return port.Load{
 		Upstream:     c.settings.Upstream,
 		QueueDelay:   c.queue.Delay(now),
-		FreePieces:   c.memory.Free(),
-		TotalPieces:  c.memory.Total(),
-		Running:      c.memory.Held(),
-		RunningLimit: c.pace.Limit(),
+		FreePieces:   c.memory.Load().Free(),
+		TotalPieces:  c.memory.Load().Total(),
+		Running:      c.memory.Load().Held(),
+		RunningLimit: c.pace.Load().Limit(),
 		Step:         time.Duration(c.load.StepUS) * time.Microsecond,
 		Accepting:    c.refusesAll() == nil && !c.reshaping,
 	}
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrypin.example/router/admission"
@@ -58,17 +59,21 @@
 		naive    Naive
 
 		queue  *prefill.Queue
-		memory *decode.Memory
-		pace   *decode.Pace
+		memory atomic.Pointer[decode.Memory]
+		pace   atomic.Pointer[decode.Pace]
 		link   *transfer.Link
 		leases *lease.Table
 		// prefilling lets one prefill at a time into the engine.
 		prefilling chan struct{}
-
-		mu        sync.Mutex
-		works     map[string]*work
-		closed    map[string]closure
-		turns     map[string]*turn
+		// probing keeps an older report from replacing a newer one.
+		probing chan struct{}
+
+		mu     sync.Mutex
+		works  map[string]*work
+		closed map[string]closure
+		turns  map[string]*turn
+		// ticking tells that dispatch will look at the queue again by itself.
+		ticking   bool
 		transfers map[string]chan struct{}
 		executing map[*work]int
 		epoch     int
@@ -82,6 +87,10 @@
 		orphans  map[string]time.Time
 		ticked   time.Time
 		counters Counters
+		// between is the time between tokens that the pace aims at.
+		between time.Duration
+		// silences counts the probes in a row that the engine left unanswered.
+		silences int
 	}
 
 	// Counters count what a controller did since its start.
@@ -126,11 +135,10 @@
 		log:        event.Discard(),
 		push:       func() {},
 		confirm:    func(context.Context) bool { return true },
-		memory:     decode.NewMemory(defaultPieces, defaultPieceTokens),
-		pace:       decode.NewPace(defaultBetweenTokens),
 		link:       transfer.NewLink(defaultLinkRate, transfer.WithTurns(transferTurns), transfer.WithStallAfter(stallAfter)),
 		leases:     lease.NewTable(LeaseLength),
 		prefilling: make(chan struct{}, 1),
+		probing:    make(chan struct{}, 1),
 		works:      make(map[string]*work),
 		closed:     make(map[string]closure),
 		turns:      make(map[string]*turn),
@@ -138,6 +146,9 @@
 		executing:  make(map[*work]int),
 		orphans:    make(map[string]time.Time),
 	}
+	c.memory.Store(decode.NewMemory(defaultPieces, defaultPieceTokens))
+	c.pace.Store(decode.NewPace(defaultBetweenTokens))
+	c.between = defaultBetweenTokens
 	c.queue = prefill.NewQueue(prefill.WithGate(admission.NewGate(random)))
 	for _, o := range options {
 		o(c)
@@ -167,7 +178,7 @@
 
 // WithMemory sets the engine's pieces and their size.
 func WithMemory(pieces, pieceTokens int) Option {
-	return func(c *Controller) { c.memory = decode.NewMemory(pieces, pieceTokens) }
+	return func(c *Controller) { c.memory.Store(decode.NewMemory(pieces, pieceTokens)) }
 }
 
 // WithNaive switches protections off.
@@ -179,9 +190,8 @@
 func (c *Controller) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { c.every(ctx, expiryInterval, c.expire) })
-	wg.Go(func() { c.every(ctx, queueInterval, c.dispatch) })
 	wg.Go(func() { c.every(ctx, probeInterval, func() { c.probe(ctx) }) })
-	wg.Go(func() { c.every(ctx, sweepInterval, func() { c.sweep(ctx) }) })
+	wg.Go(func() { c.sweeps(ctx) })
 	wg.Go(func() { c.reconcile(ctx) })
 	wg.Wait()
 }
--- a/sidecar/engine/decode.go
+++ b/sidecar/engine/decode.go
@@ -33,8 +33,8 @@
 	if hold <= 0 {
 		hold = defaultHold
 	}
-	c.memory.SetLimit(c.pace.Limit())
-	refused = c.memory.Reserve(w.item, r.PromptTokens, r.MaxOutputTokens, min(hold, maxHold), time.Now())
+	c.memory.Load().SetLimit(c.pace.Load().Limit())
+	refused = c.memory.Load().Reserve(w.item, r.PromptTokens, r.MaxOutputTokens, min(hold, maxHold), time.Now())
 	if refused != nil {
 		c.leave(w, reserved)
 	}
@@ -49,7 +49,7 @@
 		return r
 	}
 	defer c.leave(w, decoding|reserved)
-	if r := c.memory.Start(w.item, time.Now()); r != nil {
+	if r := c.memory.Load().Start(w.item, time.Now()); r != nil {
 		return r
 	}
 	defer c.free(w)
@@ -70,7 +70,7 @@
 	if err := c.engine.Cancel(ctx, w.item); err != nil {
 		c.cancelFailed(err, w.item)
 	}
-	c.memory.Release(w.item)
+	c.memory.Load().Release(w.item)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.close(w.attempt)
@@ -195,7 +195,7 @@
 			return false, nil
 		}
 		*offset++
-		c.memory.Grow(w.item, d.KV.PromptTokens+int(*offset))
+		c.memory.Load().Grow(w.item, d.KV.PromptTokens+int(*offset))
 	}
 	return false, errors.New("the engine ended the stream early")
 }
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -120,6 +120,7 @@
 			close(t.expired)
 		}
 	}
+	defer c.tick()
 	for c.wantsAhead(now) {
 		it, found := c.queue.Next(now)
 		if !found {
@@ -132,6 +133,20 @@
 	}
 }
 
+// tick looks at the queue again soon while anything waits in it.
+func (c *Controller) tick() {
+	if c.ticking || c.queue.Len() == 0 {
+		return
+	}
+	c.ticking = true
+	time.AfterFunc(queueInterval, func() {
+		c.mu.Lock()
+		c.ticking = false
+		c.mu.Unlock()
+		c.dispatch()
+	})
+}
+
 func (c *Controller) wantsAhead(now time.Time) bool {
 	ahead := 0
 	for _, t := range c.turns {
--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -6,18 +6,23 @@
 	"fmt"
 	"time"
 
+	"gooseberrypin.example/router/decode"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 )
 
 const (
-	probeInterval = 200 * time.Millisecond
+	probeInterval = 500 * time.Millisecond
 	probeTimeout  = time.Second
-	sweepInterval = 500 * time.Millisecond
+	sweepInterval = time.Second
+	// orphanInterval is the time between two looks at an orphan.
+	orphanInterval = 200 * time.Millisecond
 	// orphanGrace is how long a stream without an attempt may wait for its keeper's heartbeat.
 	orphanGrace = 2 * time.Second
 	lostRetry   = 200 * time.Millisecond
+	// maxSilences is the number of unanswered probes after which an engine hangs.
+	maxSilences = 2
 )
 
 // execute notes that a work is at the engine, for the case that the engine dies.
@@ -87,8 +92,11 @@
 	}
 }
 
-// probe reads the engine's report; a refused connection tells of its death.
+// probe reads the engine's report. A refused connection tells of its death, several
+// unanswered probes that it hangs.
 func (c *Controller) probe(ctx context.Context) {
+	c.probing <- struct{}{}
+	defer func() { <-c.probing }()
 	c.mu.Lock()
 	epoch := c.epoch
 	c.mu.Unlock()
@@ -101,19 +109,69 @@
 		return
 	}
 	if err != nil {
+		c.silent()
 		return
 	}
+	c.follow(load)
+}
+
+// silent refuses new work while the engine hangs. What runs may go on after it.
+func (c *Controller) silent() {
+	c.mu.Lock()
+	c.silences++
+	hangs := c.silences == maxSilences && !c.down
+	c.down = c.down || hangs
+	c.mu.Unlock()
+	if hangs {
+		c.log.Info(event.EngineSilent, "upstream", c.settings.Upstream)
+	}
+}
+
+// follow takes the engine's report, its memory's size and its pace.
+func (c *Controller) follow(load port.EngineLoad) {
 	c.mu.Lock()
 	found := c.down
-	c.down = false
+	c.down, c.silences = false, 0
+	resized := load.TotalPieces != c.memory.Load().Total() || load.PieceTokens != c.load.PieceTokens
 	c.load, c.loadAt = load, time.Now()
+	if load.TotalPieces > 0 && load.PieceTokens > 0 && resized && c.memory.Load().Held() == 0 {
+		c.memory.Store(decode.NewMemory(load.TotalPieces, int(load.PieceTokens)))
+	}
+	if target := c.betweenTokens(); target != c.between {
+		c.between = target
+		c.pace.Store(decode.NewPace(target))
+	}
 	c.mu.Unlock()
-	c.pace.Observe(load.Running, time.Duration(load.StepUS)*time.Microsecond)
+	c.pace.Load().Observe(load.Running, time.Duration(load.StepUS)*time.Microsecond)
 	if found {
 		c.log.Info(event.EngineFound, "upstream", c.settings.Upstream)
 	}
 }
 
+func (c *Controller) betweenTokens() time.Duration {
+	s := c.store.Current()
+	if s == nil || s.Index.Configuration().Limits.BetweenTokensMS <= 0 {
+		return defaultBetweenTokens
+	}
+	return time.Duration(s.Index.Configuration().Limits.BetweenTokensMS) * time.Millisecond
+}
+
+// sweeps looks for orphans at the start and from time to time, and at known ones more often.
+func (c *Controller) sweeps(ctx context.Context) {
+	var swept time.Time
+	look := func() {
+		c.mu.Lock()
+		known := len(c.orphans) > 0
+		c.mu.Unlock()
+		if known || time.Since(swept) >= sweepInterval {
+			swept = time.Now()
+			c.sweep(ctx)
+		}
+	}
+	look()
+	c.every(ctx, orphanInterval, look)
+}
+
 // sweep cancels streams of the engine that no attempt holds. A restarted process thereby
 // frees what its predecessor left.
 func (c *Controller) sweep(ctx context.Context) {
--- a/sidecar/engine/work.go
+++ b/sidecar/engine/work.go
@@ -18,7 +18,7 @@
 
 	// closureTerm is how long the end of an attempt is remembered.
 	closureTerm    = time.Minute
-	expiryInterval = 100 * time.Millisecond
+	expiryInterval = 200 * time.Millisecond
 	// pauseGap is the delay of a tick that tells of a paused process.
 	pauseGap = time.Second
 )
@@ -117,7 +117,7 @@
 func (c *Controller) end(w *work, r *refusal.Refusal) {
 	w.cancel(&ending{refusal: r})
 	if w.phases&decoding == 0 {
-		c.memory.Release(w.item)
+		c.memory.Load().Release(w.item)
 	}
 	c.close(w.attempt)
 	c.forget(w)
@@ -146,7 +146,7 @@
 		c.counters.LeasesExpired++
 		c.endItem(item, "the keeper went silent")
 	}
-	for _, item := range c.memory.ExpireHolds(now) {
+	for _, item := range c.memory.Load().ExpireHolds(now) {
 		c.endItem(item, "the reservation ran out")
 	}
 }
