--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,7 +36,8 @@
 )
 
 const (
-	retryFraction = 0.1
+	retryFraction = 0.2
+	retryBurst    = 40
 	sweepInterval = 5 * time.Second
 	closeTimeout  = 2 * time.Second
 	processKind   = "entry"
@@ -143,7 +144,9 @@
 		e.draining.Store(true)
 		e.log.Info(event.Draining)
 		go func() {
-			e.finishRequests()
+			if !e.naive["drain"] {
+				e.finishRequests()
+			}
 			close(e.drained)
 		}()
 	})
@@ -153,27 +156,17 @@
 func (e *Entry) build(fleetAddress string) {
 	s := &e.settings
 	e.address = fleetAddress
-	e.http = fleet.NewClient(access.NewFleetKeys(s.FleetKeys...), s.DialOverrides)
+	e.http = fleet.NewClient(access.NewKeys(s.FleetKeys...), s.DialOverrides)
 	self := route.Self{Name: s.Name, VM: s.VM, Region: s.Region, DataCentre: s.DataCentre, Address: fleetAddress}
 	e.route = route.NewRouter(self, e.store, e.vms, e.random)
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
 	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
-	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction),
-		generation.WithFirstToken(e.firstToken))
+	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
-		e.store, e.vms, newRandom(e.random.Uint64()), e.log, subscription.WithSeeds(s.PeerAddresses...))
-}
-
-// firstToken is the target that the operators set.
-func (e *Entry) firstToken() time.Duration {
-	const standard = 380 * time.Millisecond
-	s := e.store.Current()
-	if s == nil || s.Index.Configuration().Limits.FirstTokenMS <= 0 {
-		return standard
-	}
-	return time.Duration(s.Index.Configuration().Limits.FirstTokenMS) * time.Millisecond
+		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
+		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive["peer_configuration"]))
 }
 
 // process describes this process to its peers.
--- a/entry/keeping.go
+++ b/entry/keeping.go
@@ -17,6 +17,8 @@
 		entry   *Entry
 		record  *request.Record
 		joining joining
+		// plan is the admitted first try, until it is run.
+		plan generation.Plan
 		// unreachable is the keeper that could not be reached, if any.
 		unreachable string
 		// whole is set once the record has all tokens.
@@ -29,7 +31,7 @@
 func (k *keeping) round(ctx context.Context) (why *refusal.Refusal, again bool) {
 	switch o := k.claim(ctx).(type) {
 	case claim.Refused:
-		return o.Refusal, false
+		return k.afterRun(o.Refusal), false
 	case claim.Held:
 		return k.join(ctx, o)
 	case claim.Claimed:
@@ -44,11 +46,7 @@
 	if k.entry.naive["claim"] {
 		return claim.Claimed{KeyDigest: g.KeyDigest(), Keeper: k.entry.id, Number: uint64(time.Now().UnixMilli())}
 	}
-	var addresses []string
-	for _, home := range k.entry.route.ClaimHomes(g.Model, g.KeyDigest()) {
-		addresses = append(addresses, home.SidecarAddress)
-	}
-	return k.entry.claims.Claim(ctx, addresses, claim.Request{
+	return k.entry.claims.Claim(ctx, k.homes(), claim.Request{
 		KeyDigest:     g.KeyDigest(),
 		ContentDigest: k.record.ContentDigest,
 		Keeper:        k.entry.id,
@@ -57,6 +55,24 @@
 	})
 }
 
+// homes returns the addresses of the key's homes in the configuration in force.
+func (k *keeping) homes() []string {
+	var addresses []string
+	g := &k.record.Generation
+	for _, home := range k.entry.route.ClaimHomes(g.Model, g.KeyDigest()) {
+		addresses = append(addresses, home.SidecarAddress)
+	}
+	return addresses
+}
+
+// afterRun tells a caller that the request ran, when it was refused after its run.
+func (k *keeping) afterRun(why *refusal.Refusal) *refusal.Refusal {
+	if k.whole == nil {
+		return why
+	}
+	return why.AtLeast(refusal.RanYes)
+}
+
 // join follows the entry that keeps the key, or finds it unreachable.
 func (k *keeping) join(ctx context.Context, held claim.Held) (why *refusal.Refusal, again bool) {
 	if held.KeeperAddress != k.joining.lost {
@@ -89,10 +105,25 @@
 		Fingerprint: fingerprint,
 		Attempt:     port.Attempt{KeyDigest: c.KeyDigest, Number: c.Number},
 		Keeper:      k.entry.id,
+		Plan:        k.takePlan(),
 		Suspect:     k.entry.crashes.suspected(fingerprint, time.Now()),
 	}
 }
 
+// takePlan returns the admitted first try once.
+func (k *keeping) takePlan() generation.Plan {
+	p := k.plan
+	k.plan = nil
+	return p
+}
+
+// endPlan gives up a plan that was not run.
+func (k *keeping) endPlan() {
+	if p := k.takePlan(); p != nil {
+		p.End(0)
+	}
+}
+
 // refused frees the claim of an attempt, unless a newer attempt replaced it. The caller
 // does not wait for that.
 func (k *keeping) refused(why *refusal.Refusal, c claim.Claimed) (*refusal.Refusal, bool) {
@@ -107,11 +138,14 @@
 
 // settle ends the answer if this entry still holds the claim: only one entry can.
 func (k *keeping) settle(c claim.Claimed) (why *refusal.Refusal, again bool) {
-	settlement := claim.Settled
-	if !k.entry.naive["claim"] {
-		settlement = k.entry.claims.Settle(context.Background(), c, true)
+	if k.entry.naive["claim"] {
+		k.record.Finish(k.whole.FinishReason)
+		return nil, false
+	}
+	if homes := k.homes(); len(homes) > 0 && !c.HeldAt(homes) {
+		return nil, true
 	}
-	switch settlement {
+	switch k.entry.claims.Settle(context.Background(), c, true) {
 	case claim.Settled:
 		k.record.Finish(k.whole.FinishReason)
 		return nil, false
--- a/router/bench/recovery.go
+++ b/router/bench/recovery.go
@@ -5,7 +5,7 @@
 	if a.ended {
 		return
 	}
-	if !k.world.policy.naive && !k.tooLate(a) && k.budget.Allow() {
+	if !k.world.policy.naive && !k.dispatcher.TooLate(a.ticket, k.world.clock.now) && k.budget.Allow() {
 		a.source.move(a)
 		return
 	}
@@ -26,7 +26,7 @@
 	a.avoid = append(a.avoid, from)
 	a.dest = nil
 	a.source.stop(a)
-	if k.tooLate(a) || !k.budget.Allow() {
+	if k.dispatcher.TooLate(a.ticket, k.world.clock.now) || !k.budget.Allow() {
 		k.world.tally.shed("move")
 		k.refuse(a, 0)
 		return
@@ -44,24 +44,8 @@
 	k.end(a)
 	if k.world.policy.naive || !k.budget.Allow() {
 		k.world.tally.shed("lost")
-		k.world.clock.after(clientDelay+hopDelay, r.refused)
+		k.world.refused(r)
 		return
 	}
-	k.resume(r)
-}
-
-// resume starts another attempt of a request without asking its caller.
-func (k *keeper) resume(r *request) {
-	next := k.attempt(r)
-	next.deadline = k.world.clock.now.Add(deadlineAtEdge)
-	if !k.admit(next) {
-		k.refuse(next, 0)
-		return
-	}
-	k.begin(next)
-	if k.world.policy.reserve == reserveAtArrival {
-		k.reserve(next)
-		return
-	}
-	k.world.clock.after(hopDelay, func() { next.source.push(next) })
+	k.begin(r)
 }
--- a/router/booking/home.go
+++ b/router/booking/home.go
@@ -129,7 +129,7 @@
 	}
 	h.table.insert(s, newEntry(c, Intent, make(chan struct{})))
 	h.running.add(h.revision)
-	return Granted{Revision: h.revision, doubts: h.doubts}
+	return Granted{Revision: h.revision}
 }
 
 // Complete keeps the result of a granted run.
@@ -161,8 +161,11 @@
 	if e, found := s.entries[c.Key]; found {
 		return e.outcome(c)
 	}
-	if !h.owns(c, now) || h.draining || h.naive {
-		return Refused{Refusal: h.unowned(c)}
+	if h.naive {
+		return Refused{Refusal: refusal.New(refusal.RanNo, refusal.Tombstoned, 0, "the answer was lost")}
+	}
+	if !h.owns(c, now) || h.draining {
+		return Refused{Refusal: h.undecided(c)}
 	}
 	if !h.table.reserve() {
 		return Refused{Refusal: refusal.New(refusal.RanUnknown, refusal.TableFull, 0, "the table of records is full")}
@@ -183,14 +186,6 @@
 	return h.table.expire(before)
 }
 
-// Holds tells whether a granted run may still be sent: the process was not paused since.
-func (h *Home) Holds(g Granted, now time.Time) bool {
-	h.Tick(now)
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.naive || g.doubts == h.doubts
-}
-
 // Running returns the number of granted runs that have not ended.
 func (h *Home) Running() int {
 	return h.running.below(maxRevision)
--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -28,6 +28,8 @@
 		arguments []string
 		ready     int
 		log       *logCollector
+		// ended is called after each end of the process.
+		ended func()
 
 		mu     sync.Mutex
 		run    *exec.Cmd
@@ -70,6 +72,16 @@
 	return p.run != nil
 }
 
+// ID returns the process's number, or 0.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil {
+		return 0
+	}
+	return p.run.Process.Pid
+}
+
 // Starts returns how often the process was started.
 func (p *Process) Starts() int {
 	p.mu.Lock()
@@ -129,6 +141,11 @@
 	return p.log.lastLines()
 }
 
+// Events returns how often each numbered event stands in the log.
+func (p *Process) Events() map[int]int {
+	return p.log.eventCounts()
+}
+
 // Faults returns the lines of the log that report a data race or a panic.
 func (p *Process) Faults() []string {
 	return p.log.faultLines()
@@ -159,6 +176,9 @@
 	p.run = nil
 	p.frozen = false
 	p.mu.Unlock()
+	if p.ended != nil {
+		p.ended()
+	}
 	close(exited)
 }
 
