Log the leases that expire

Cause: event 3003 stood in the catalogue and was never written; 3010 was written and not in the catalogue. Ruled out: a line for each attempt, which a dead entry would multiply.

--- a/sidecar/engine/work.go
+++ b/sidecar/engine/work.go
@@ -142,10 +142,14 @@
 	if c.naive.KeepsLeases {
 		return
 	}
-	for _, item := range c.leases.Expire(now) {
+	expired := c.leases.Expire(now)
+	for _, item := range expired {
 		c.counters.LeasesExpired++
 		c.endItem(item, "the keeper went silent")
 	}
+	if len(expired) > 0 {
+		c.log.Info(event.LeaseExpired, "attempts", len(expired))
+	}
 	for _, item := range c.memory.Load().ExpireHolds(now) {
 		c.endItem(item, "the reservation ran out")
 	}
