--- a/router/booking/home_test.go
+++ b/router/booking/home_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +98,36 @@
 	}
 }
 
+// TestConcurrentResends lets many resends of a few keys race with changes of the revision.
+func TestConcurrentResends(t *testing.T) {
+	const keys, resends, revisions = 40, 25, 20
+	is := is.New(t)
+	start := time.Date(2026, 12, 4, 2, 0, 0, 0, time.UTC)
+	now := start.Add(10 * time.Second)
+	h := settledHome(start, booking.WithMaxRecords(keys))
+	runs := make([]atomic.Int32, keys)
+	var group sync.WaitGroup
+	for i := range keys * resends {
+		c := booking.Call{Key: fmt.Sprint("k", i%keys), Created: now, Content: "c", Pool: "desk", Revision: 2}
+		group.Go(func() {
+			if g, granted := h.Begin(c, now).(booking.Granted); granted {
+				runs[i%keys].Add(1)
+				h.Complete(c, g, booking.Result{Status: 200})
+			}
+		})
+	}
+	group.Go(func() {
+		for r := range revisions {
+			h.Adopt(index(int64(3+r), "desk", "a"), now)
+		}
+	})
+	group.Wait()
+	for i := range runs {
+		is.Equal(runs[i].Load(), int32(1)) // each key runs once
+	}
+	is.Equal(h.Running(), 0)
+}
+
 func TestParts(t *testing.T) {
 	large := booking.Result{Body: make([]byte, 300<<10)}
 	cases := map[string]struct {
@@ -123,8 +155,9 @@
 
 // settledHome returns a home with room for one record. At revision 2 the rule of the
 // service moved to its pool, and the pool's other member left.
-func settledHome(now time.Time) *booking.Home {
-	h := booking.NewHome(booking.Member{Upstream: "a", VM: "a"}, booking.WithMaxRecords(1), booking.WithPause(time.Hour))
+func settledHome(now time.Time, options ...booking.Option) *booking.Home {
+	options = append([]booking.Option{booking.WithMaxRecords(1), booking.WithPause(time.Hour)}, options...)
+	h := booking.NewHome(booking.Member{Upstream: "a", VM: "a"}, options...)
 	h.SetVMs(&vm.List{Version: 1, VMs: []vm.VM{{Name: "a", Role: vm.RoleUpstream}}}, now)
 	h.Adopt(index(1, "elsewhere", "a", "b"), now)
 	h.Adopt(index(2, "desk", "a"), now)
