Look for moved records only when a member of the pool asks

Cause: each question made a sidecar walk all its records, and a fresh process asks every sidecar; the list of moves also grew with each change of a layout. Ruled out: an index of records by home, as homes change with the layout. Conclusion: one walk for each member and layout.

--- a/router/booking/handover.go
+++ b/router/booking/handover.go
@@ -26,12 +26,16 @@
 	}
 )
 
-// Moves returns the hand-overs of the keys that moved from here to another upstream.
-func (h *Home) Moves(to string) []HandOver {
+// Moves returns the hand-overs of the keys that moved from here to another upstream,
+// but for those that are over: their pool and the first revision of its layout tell them apart.
+func (h *Home) Moves(to string, over func(pool string, revision int64) bool) []HandOver {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	var list []HandOver
 	for name, p := range h.pools {
+		if _, member := p.current().layout.find(to); !member || over(name, p.current().revision) {
+			continue
+		}
 		if h.running.below(p.current().revision) > 0 {
 			continue
 		}
--- a/router/booking/model_test.go
+++ b/router/booking/model_test.go
@@ -192,7 +192,7 @@
 		other := w.nodes[j].home
 		a := other.Acknowledge(w.nodes[i].member.Upstream, q.Revision, w.clock(j))
 		if a.Revision >= q.Revision && a.Running == 0 {
-			for _, o := range other.Moves(w.nodes[i].member.Upstream) {
+			for _, o := range other.Moves(w.nodes[i].member.Upstream, never) {
 				w.nodes[i].home.Accept(o, w.clock(i))
 			}
 		}
@@ -200,6 +200,8 @@
 	}
 }
 
+func never(string, int64) bool { return false }
+
 func (w *world) receive(n int) {
 	a := w.answers[n]
 	w.answers = append(w.answers[:n], w.answers[n+1:]...)
--- a/sidecar/service/move.go
+++ b/sidecar/service/move.go
@@ -25,11 +25,11 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	done := true
-	for _, o := range c.home.Moves(to) {
+	over := func(pool string, revision int64) bool {
+		return !c.begin(move{to: to, pool: pool, revision: revision}, time.Now())
+	}
+	for _, o := range c.home.Moves(to, over) {
 		key := move{to: to, pool: o.Pool, revision: o.Revision}
-		if !c.begin(key, time.Now()) {
-			continue
-		}
 		moved := c.handOver(ctx, m, o)
 		done = c.end(key, moved, time.Now()) && done
 	}
@@ -69,6 +69,7 @@
 	defer c.movedMu.Unlock()
 	m, found := c.moved[key]
 	if !found {
+		maps.DeleteFunc(c.moved, func(o move, _ moved) bool { return o.to == key.to && o.pool == key.pool })
 		c.moved[key] = moved{since: now}
 	}
 	return !m.done
