--- /dev/null
+++ b/router/adapter/sidecar/sidecar_test.go
@@ -0,0 +1,37 @@
+package sidecar_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+
+	"gooseberrypin.example/router/access"
+	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/sidecar"
+	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/port"
+)
+
+func TestHomeThatDoesNotRunIsDown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	server := fleet.NewServer(http.NotFoundHandler())
+	go func() { _ = server.Serve(l) }()
+	newClient := func() port.Sidecars {
+		return sidecar.NewClient(fleet.NewClient(access.NewKeys("key-for-the-test-only"), nil))
+	}
+	_, err = newClient().Claim(context.Background(), address, claim.Request{})
+	if err == nil || errors.Is(err, claim.ErrDown) {
+		t.Fatalf("a home that runs: %v", err)
+	}
+	_ = server.Close()
+	// A connection from before may end with EOF, which tells nothing; a new one is refused.
+	if _, err = newClient().Claim(context.Background(), address, claim.Request{}); !errors.Is(err, claim.ErrDown) {
+		t.Fatalf("a home that was closed: %v", err)
+	}
+}
