Expect 19 of one batch size again

Ruled out: keeping 16; the flatter of both slopes is the rule now, and the first expectation stands unchanged. Conclusion: the test asks for what it asked for at first.

--- a/router/decode/pace_test.go
+++ b/router/decode/pace_test.go
@@ -18,7 +18,7 @@
 	}{
 		"nothing known":             {want: 16},
 		"one stream only":           {base: 20 * time.Millisecond, batches: []int{1, 1, 1, 1, 1, 1}, want: 16},
-		"one batch":                 {base: 20 * time.Millisecond, batches: []int{10, 10, 10, 10}, want: 16},
+		"one batch":                 {base: 20 * time.Millisecond, batches: []int{10, 10, 10, 10}, want: 19},
 		"batches of different size": {base: 20 * time.Millisecond, batches: []int{1, 10, 20, 30, 5, 25}, want: 34},
 		"few samples":               {base: 20 * time.Millisecond, batches: []int{8, 12, 16, 14, 20}, want: 34},
 		"always full":               {base: 20 * time.Millisecond, batches: []int{34, 34, 34, 34, 34, 34}, want: 34},
