Pause when a peer has in force what this process refuses

Cause: between two versions of the program a peer may accept what this one refuses. Its answers would come at once, one after the other. Red: without the pause TestPeerWithARefusedRevision spins and was ended after 15 s; with it each process asks about twice a second. A holder whose answer could be read counts as heard, also when a part was not. Ruled out: naming refused revisions in watches, which changes the protocol.

--- a/router/subscription/fleet_test.go
+++ b/router/subscription/fleet_test.go
@@ -58,7 +58,11 @@
 		nodes map[string]*node
 		// silent addresses accept a call and never answer, as a frozen process does.
 		silent map[string]bool
-		list   vm.List
+		// lax is the answer to each watch, with its parts, if it is set.
+		lax      *port.Update
+		laxParts map[string][]byte
+		watches  int
+		list     vm.List
 	}
 
 	// link implements port.Peers within a fleet.
@@ -229,6 +233,9 @@
 	if err != nil {
 		return port.Update{}, err
 	}
+	if u := l.fleet.countWatch(); u != nil {
+		return *u, nil
+	}
 	u := n.reader.Watch(ctx, view, wait)
 	if _, err := l.target(ctx, address); err != nil {
 		return port.Update{}, err
@@ -241,6 +248,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if content, found := l.fleet.laxParts[sha256]; found {
+		return content, nil
+	}
 	return n.reader.Part(sha256), nil
 }
 
@@ -306,6 +316,20 @@
 	<-n.done
 }
 
+// countWatch counts a watch, and returns the answer to it if that is fixed.
+func (f *fleet) countWatch() *port.Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watches++
+	return f.lax
+}
+
+func (f *fleet) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watches
+}
+
 // freeze stops a process from answering, its open calls included.
 func (f *fleet) freeze(address string) {
 	f.mu.Lock()
--- a/router/subscription/peers.go
+++ b/router/subscription/peers.go
@@ -15,24 +15,27 @@
 			r.awaitTopology(ctx, r.options.peerWait)
 			continue
 		}
-		if r.pull(ctx, address, r.options.peerWait) {
+		settled, err := r.pull(ctx, address, r.options.peerWait)
+		if err == nil {
 			r.confirm()
-		} else {
+		}
+		if !settled {
 			_ = pause(ctx, r.jittered(r.options.retry))
 		}
 	}
 }
 
-// pull takes what a peer knows more. It returns false when that should be tried again
-// after a pause.
-func (r *Reader) pull(ctx context.Context, address string, wait time.Duration) bool {
+// pull takes what a peer knows more. It isn't settled when the peer still knows more
+// afterwards, as its next answer would come at once.
+func (r *Reader) pull(ctx context.Context, address string, wait time.Duration) (settled bool, err error) {
 	watch, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
 	u, err := r.peers.Watch(watch, address, r.View(), wait)
 	if err != nil {
-		return false
+		return false, err
 	}
-	return r.apply(ctx, u, address)
+	done := r.apply(ctx, u, address)
+	return done && !r.View().Behind(u.View), nil
 }
 
 // confirm notes that a holder answered.
@@ -66,7 +69,7 @@
 func (r *Reader) takeOffer(ctx context.Context, o offer) {
 	own := r.View()
 	if own.Behind(o.view) || own.Conflicts(o.view) {
-		_ = r.pull(ctx, o.address, 0)
+		_, _ = r.pull(ctx, o.address, 0)
 	}
 }
 
--- a/router/subscription/platform.go
+++ b/router/subscription/platform.go
@@ -95,7 +95,7 @@
 // anything newer. A process calls it after a pause, before it acts on the configuration.
 func (r *Reader) Refresh(ctx context.Context) error {
 	for _, address := range r.topology().near {
-		if r.pull(ctx, address, 0) {
+		if settled, err := r.pull(ctx, address, 0); settled && err == nil {
 			return nil
 		}
 	}
--- a/router/subscription/subscription_test.go
+++ b/router/subscription/subscription_test.go
@@ -248,6 +248,29 @@
 	})
 }
 
+// TestPeerWithARefusedRevision has a peer that put in force what this process refuses, as
+// another version of the program might.
+func TestPeerWithARefusedRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, other := newReplica(), newReplica()
+		f := newFleet(t, 1, 3)
+		kept := p.publish(1, "a", true)
+		p.publishVMs(f.list)
+		f.startAll(p)
+		defer f.stopAll()
+		other.publish(2, "b", false)
+		f.lax = &port.Update{View: port.View{Revision: 2, Digest: "other", VMsVersion: 1}, Manifest: other.manifest}
+		f.laxParts = other.parts
+		before := f.calls()
+		advance(10 * time.Second)
+		is.True(f.calls()-before <= 3*(10*2+10)) // a pause of half a second on average after each answer
+		for _, n := range f.all() {
+			is.Equal(n.reader.View().Digest, kept)
+		}
+	})
+}
+
 func TestVMListFollowsItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
