End the plan of a try whose caller had gone before it ran

Cause: crashing_request hung once in a clean clone: n4 was refused as overloaded 469 times in 10 s by an idle pool. A caller that goes between admission and run left its plan pending, so the entry thought the pool full for good. Red: 'a caller that has gone before the run costs nothing' fails without the change. Also: a process that ends before it listens now says how it ended (planned_stop failed once with service1_sidecar, cause not known yet).

--- a/router/generation/generation_test.go
+++ b/router/generation/generation_test.go
@@ -39,8 +39,11 @@
 		ctx    context.Context
 		events []any
 	}
-	routes    struct{}
-	plan      struct{ avoid []string }
+	routes struct{ plans []*plan }
+	plan   struct {
+		avoid []string
+		ends  int
+	}
 	crashes   struct{ count int }
 	noRetries struct{ left int }
 )
@@ -124,8 +127,10 @@
 	}
 }
 
-func (routes) Admit(_ *request.Generation, _ string, avoid []string, _ time.Time) (generation.Plan, *refusal.Refusal) {
-	return &plan{avoid: avoid}, nil
+func (r *routes) Admit(_ *request.Generation, _ string, avoid []string, _ time.Time) (generation.Plan, *refusal.Refusal) {
+	p := &plan{avoid: avoid}
+	r.plans = append(r.plans, p)
+	return p, nil
 }
 
 func (p *plan) Prefill() generation.Target { return pick("p", p.avoid) }
@@ -138,10 +143,10 @@
 func (p *plan) Late() bool                 { return false }
 func (p *plan) Reserved(generation.Target) {}
 func (p *plan) Prefilled()                 {}
-func (p *plan) Finish(int)                 {}
-func (p *plan) End(int)                    {}
+func (p *plan) Finish(int)                 { p.ends++ }
+func (p *plan) End(int)                    { p.ends++ }
 
-func (routes) Down(string, time.Time) {}
+func (*routes) Down(string, time.Time) {}
 
 func (c *crashes) Crashed(context.Context, string, string) *refusal.Refusal {
 	if c.count++; c.count > 1 {
@@ -171,6 +176,7 @@
 		text    string
 		reason  refusal.Reason
 		calls   string
+		gone    bool
 	}{
 		"whole": {
 			fake: fake{prefills: []any{done}, decodes: [][]any{whole}},
@@ -195,6 +201,9 @@
 			fake:   fake{prefills: []any{done}, decodes: [][]any{{errLost}}},
 			reason: refusal.UpstreamLost, calls: "prefill p1,reserve d1,decode d1",
 		},
+		"a caller that has gone before the run costs nothing": {
+			gone: true, reason: refusal.Cancelled,
+		},
 		"two crashes quarantine": {
 			fake:    fake{prefills: []any{done, done, done}, decodes: [][]any{{lost}, {lost}}},
 			retries: 5, reason: refusal.Quarantined, calls: "prefill p1,reserve d1,decode d1,prefill p1,reserve d1,decode d1",
@@ -211,10 +220,17 @@
 				f := &c.fake
 				f.reserved = make(map[string]int)
 				holdings := lease.NewHoldings()
-				runner := generation.NewRunner(f, routes{}, holdings, &crashes{}, &noRetries{left: c.retries})
+				route := &routes{}
+				runner := generation.NewRunner(f, route, holdings, &crashes{}, &noRetries{left: c.retries})
 				g := request.Generation{Partner: "p", Key: "k", Model: "m", Prompt: "question "}
 				r, _, _ := request.NewBook().Open(g, time.Now())
-				switch o := runner.Run(t.Context(), r, generation.Job{Generation: g}).(type) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.gone {
+					cancel()
+				}
+				first, _ := route.Admit(&g, g.Prompt, nil, time.Now())
+				switch o := runner.Run(ctx, r, generation.Job{Generation: g, Plan: first}).(type) {
 				case generation.Whole:
 					is.Equal(strings.Join(r.Tokens(), ""), c.text)
 				case generation.Refused:
@@ -222,6 +238,9 @@
 				}
 				is.Equal(strings.Join(f.calls, ","), c.calls)
 				is.Equal(len(holdings.Addresses()), 0)
+				for _, p := range route.plans {
+					is.Equal(p.ends, 1) // each admitted try ends once
+				}
 				for address, n := range f.reserved {
 					is.Equal(address+fmt.Sprint(n), address+"0") // nothing stays reserved
 				}
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -36,6 +36,7 @@
 	kv, why := w.prefill(ctx)
 	if why != nil {
 		w.release()
+		w.endPlan()
 		return result{why: why, retryable: why.Reason == refusal.UpstreamLost}
 	}
 	w.plan.Prefilled()
@@ -90,8 +91,7 @@
 			return kv, nil
 		}
 		last = why
-		w.plan.End(0)
-		w.plan = nil
+		w.endPlan()
 		if w.crashedAt != "" || w.exhausted || !elsewhere(why) {
 			break
 		}
@@ -260,6 +260,14 @@
 	}
 }
 
+// endPlan gives up a plan, also one that was never begun.
+func (w *work) endPlan() {
+	if w.plan != nil {
+		w.plan.End(0)
+		w.plan = nil
+	}
+}
+
 // release gives up a reservation that no decode used.
 func (w *work) release() {
 	if w.decode != nil {
--- a/scenario/fleet/process.go
+++ b/scenario/fleet/process.go
@@ -36,6 +36,8 @@
 		exited chan struct{}
 		frozen bool
 		starts int
+		// end is how the last run ended.
+		end error
 	}
 )
 
@@ -171,9 +173,10 @@
 }
 
 func (p *Process) reap(run *exec.Cmd, exited chan struct{}) {
-	_ = run.Wait()
+	err := run.Wait()
 	p.mu.Lock()
 	p.run = nil
+	p.end = err
 	p.frozen = false
 	p.mu.Unlock()
 	if p.ended != nil {
@@ -182,6 +185,12 @@
 	close(exited)
 }
 
+func (p *Process) lastEnd() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.end
+}
+
 func (p *Process) awaitReady(after int, exited <-chan struct{}) error {
 	deadline := time.After(startTimeout)
 	for {
@@ -192,7 +201,7 @@
 		select {
 		case <-changed:
 		case <-exited:
-			return eris.Errorf("%s: ended before it listened:\n%s", p.Name, p.Tail())
+			return eris.Errorf("%s: ended before it listened (%v):\n%s", p.Name, p.lastEnd(), p.Tail())
 		case <-deadline:
 			return eris.Errorf("%s: did not listen within %s:\n%s", p.Name, startTimeout, p.Tail())
 		}
