--- a/router/lease/lease_test.go
+++ b/router/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,3 +51,21 @@
 	is.Equal(table.Expire(start.Add(length+1)), []string{"a"})
 	is.Equal(table.Holders(), map[string]int{"entry-2": 1})
 }
+
+// BenchmarkRenew takes the heartbeat of an entry that holds the given number of attempts.
+func BenchmarkRenew(b *testing.B) {
+	for name, items := range map[string]int{"8 attempts": 8, "64 attempts": 64} {
+		b.Run(name, func(b *testing.B) {
+			table, now := lease.NewTable(length), time.Now()
+			var wanted []string
+			for n := range items {
+				wanted = append(wanted, fmt.Sprintf("key-%d", n))
+				table.Add("entry-1", wanted[n], now)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Renew("entry-1", wanted, grace, now)
+			}
+		})
+	}
+}
--- a/router/order/order.go
+++ b/router/order/order.go
@@ -21,6 +21,13 @@
 		Models []string
 	}
 
+	// Turns are the times at which one upstream may load models.
+	Turns struct {
+		slot   time.Duration
+		round  time.Duration
+		offset time.Duration
+	}
+
 	// Turn is a time at which an upstream may load one model from the weight store.
 	Turn struct {
 		Number int64
@@ -81,14 +88,20 @@
 	return [3]int64{f.Revision, f.Start, f.Counter}
 }
 
-// NextTurn returns an upstream's turn at the weight store that lasts or comes next. Turns go
+// NewTurns returns an upstream's turns at the weight store under one configuration. Turns go
 // round by rank and by the clock, so that the store's rate holds over revisions and
 // restarts, as long as an upstream loads at most one model in each.
-func NextTurn(index *configuration.Index, upstream string, now time.Time) Turn {
-	var names []string
+func NewTurns(index *configuration.Index, upstream string) Turns {
+	engines, rank := 0, 0
+	own := rendezvous.Score(turnKey, upstream)
 	for _, u := range index.Configuration().Upstreams {
-		if u.Kind == configuration.KindEngine {
-			names = append(names, u.Name)
+		if u.Kind != configuration.KindEngine {
+			continue
+		}
+		engines++
+		score := rendezvous.Score(turnKey, u.Name)
+		if score > own || (score == own && u.Name < upstream) {
+			rank++
 		}
 	}
 	perMinute := index.Configuration().Limits.WeightLoadsPerMinute
@@ -96,14 +109,16 @@
 		perMinute = defaultLoadsPerMinute
 	}
 	slot := time.Minute / time.Duration(perMinute)
-	round := slot * time.Duration(max(1, len(names)))
-	rank := slices.Index(rendezvous.Rank(turnKey, names, len(names)), upstream)
-	offset := slot * time.Duration(max(0, rank))
-	since := time.Duration(now.UnixNano()) - offset
-	number := int64(since / round)
-	position := since % round
-	if position < slot/2 {
+	return Turns{slot: slot, round: slot * time.Duration(max(1, engines)), offset: slot * time.Duration(rank)}
+}
+
+// Next returns the turn that lasts or comes next.
+func (t Turns) Next(now time.Time) Turn {
+	since := time.Duration(now.UnixNano()) - t.offset
+	number := int64(since / t.round)
+	position := since % t.round
+	if position < t.slot/2 {
 		return Turn{Number: number}
 	}
-	return Turn{Number: number + 1, Wait: round - position}
+	return Turn{Number: number + 1, Wait: t.round - position}
 }
--- a/router/order/order_test.go
+++ b/router/order/order_test.go
@@ -12,7 +12,7 @@
 	"gooseberrypin.example/router/order"
 )
 
-func index(t *testing.T, upstreams int, loadsPerMinute int64, labels label.Labels) *configuration.Index {
+func index(t testing.TB, upstreams int, loadsPerMinute int64, labels label.Labels) *configuration.Index {
 	t.Helper()
 	c := &configuration.Configuration{
 		Pools: []configuration.Pool{
@@ -88,10 +88,11 @@
 
 // nextLoad waits for a turn in which the upstream has not loaded yet.
 func nextLoad(fleet *configuration.Index, upstream string, at time.Time, taken map[string]int64) time.Time {
-	turn := order.NextTurn(fleet, upstream, at)
+	turns := order.NewTurns(fleet, upstream)
+	turn := turns.Next(at)
 	for turn.Number == taken[upstream] {
 		at = at.Add(turn.Wait + time.Second)
-		turn = order.NextTurn(fleet, upstream, at)
+		turn = turns.Next(at)
 	}
 	taken[upstream] = turn.Number
 	return at.Add(turn.Wait)
@@ -110,3 +111,23 @@
 	}
 	return most
 }
+
+func BenchmarkTurns(b *testing.B) {
+	for name, upstreams := range map[string]int{"today": 27, "target": 2100} {
+		fleet := index(b, upstreams, 0, label.Labels{"role": "decode"})
+		now := time.Unix(1_800_000_000, 0)
+		b.Run("new "+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				order.NewTurns(fleet, "u7")
+			}
+		})
+		b.Run("next "+name, func(b *testing.B) {
+			turns := order.NewTurns(fleet, "u7")
+			b.ReportAllocs()
+			for b.Loop() {
+				turns.Next(now)
+			}
+		})
+	}
+}
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -131,3 +131,15 @@
 	is.Equal(len(table.Suspects(now)), 2)
 	is.Equal(table.Check("a", now), quarantine.Free{}) // the one that ends first makes room
 }
+
+// BenchmarkCheck looks up free content in a full table.
+func BenchmarkCheck(b *testing.B) {
+	table, now := quarantine.NewTable(), time.Now()
+	for n := range 1024 {
+		table.Report([]string{fmt.Sprintf("suspect-%d", n)}, "crash", now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Check("innocent", now)
+	}
+}
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -13,6 +13,7 @@
 	"gooseberrypin.example/router/decode"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/lease"
+	"gooseberrypin.example/router/order"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/prefill"
 	"gooseberrypin.example/router/quarantine"
@@ -84,9 +85,12 @@
 		loadAt    time.Time
 		// loadTurn is the turn at the weight store that was used last.
 		loadTurn int64
-		orphans  map[string]time.Time
-		ticked   time.Time
-		counters Counters
+		// loadTurns are the turns under the revision turnsOf.
+		loadTurns order.Turns
+		turnsOf   int64
+		orphans   map[string]time.Time
+		ticked    time.Time
+		counters  Counters
 		// between is the time between tokens that the pace aims at.
 		between time.Duration
 		// silences counts the probes in a row that the engine left unanswered.
--- a/sidecar/engine/reconcile.go
+++ b/sidecar/engine/reconcile.go
@@ -64,7 +64,7 @@
 	if c.reshaping && len(c.works) > 0 {
 		return port.EngineOrder{}, false
 	}
-	next.Models = c.models(s.Index, target, now)
+	next.Models = c.models(s, target, now)
 	unchanged := order.Target{Role: target.Role, Models: next.Models}.Equal(c.load.Role, c.load.Models)
 	return next, !unchanged
 }
@@ -79,9 +79,12 @@
 
 // models keeps the wanted models that the engine has, and adds one more in this
 // upstream's turn at the weight store.
-func (c *Controller) models(index *configuration.Index, target order.Target, now time.Time) []string {
+func (c *Controller) models(s *configuration.Snapshot, target order.Target, now time.Time) []string {
 	models := make([]string, 0, len(target.Models))
-	turn := order.NextTurn(index, c.settings.Upstream, now)
+	if c.turnsOf != s.Revision {
+		c.turnsOf, c.loadTurns = s.Revision, order.NewTurns(s.Index, c.settings.Upstream)
+	}
+	turn := c.loadTurns.Next(now)
 	mayLoad := turn.Wait == 0 && turn.Number != c.loadTurn
 	for _, m := range target.Models {
 		held := slices.Contains(c.load.Models, m)
