--- a/router/booking/handover.go
+++ b/router/booking/handover.go
@@ -164,13 +164,18 @@
 }
 
 // byNext groups the records of a pool by the member that follows as their keys' home.
+// Without such a member any other sidecar keeps them until this one starts again.
 func (h *Home) byNext(name string, l *Layout) map[Member][]Record {
 	groups := make(map[Member][]Record)
+	others := NewLayout(h.others())
 	for _, r := range h.table.list(func(r *Record) bool { return r.Pool == name }) {
 		next, found := l.Home(r.Key)
 		if found && next.Is(h.self) {
 			next, found = l.Next(r.Key, h.self.Upstream)
 		}
+		if !found {
+			next, found = others.Home(r.Key)
+		}
 		if found {
 			groups[next] = append(groups[next], r)
 		}
@@ -180,3 +185,14 @@
 	}
 	return groups
 }
+
+// others lists the sidecars of other plain services on listed VMs.
+func (h *Home) others() []Member {
+	var list []Member
+	for name, p := range h.peers {
+		if h.listed[name] && p.member.Upstream != "" && !p.elsewhere && !p.stopped {
+			list = append(list, p.member)
+		}
+	}
+	return list
+}
