--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -15,11 +15,14 @@
 )
 
 const (
+	// Margin is by how much a first token must be predicted before its deadline.
+	Margin = 10 * time.Millisecond
+	// TransferCost is the time that the transfer of a token's KV cache takes.
+	TransferCost = 13 * time.Microsecond
+
 	defaultFirstToken    = 380 * time.Millisecond
 	defaultBetweenTokens = 37 * time.Millisecond
-	defaultMargin        = 10 * time.Millisecond
 	defaultPieceTokens   = 4096
-	defaultTransferCost  = 13 * time.Microsecond
 	defaultOutput        = 256
 	defaultOverhead      = 2 * time.Millisecond
 	outputWeight         = 0.02
@@ -85,9 +88,9 @@
 		limiter:       share.NewLimiter(fork()),
 		firstToken:    defaultFirstToken,
 		betweenTokens: defaultBetweenTokens,
-		margin:        defaultMargin,
+		margin:        Margin,
 		overhead:      defaultOverhead,
-		transferCost:  defaultTransferCost,
+		transferCost:  TransferCost,
 		pieceTokens:   defaultPieceTokens,
 		output:        defaultOutput,
 	}
@@ -235,5 +238,11 @@
 
 // firstStep is the mean time from joining a batch to the first token.
 func (d *Dispatcher) firstStep() time.Duration {
-	return d.betweenTokens * 3 / 2
+	return FirstStep(d.betweenTokens)
+}
+
+// FirstStep is the mean time from joining a batch to the first token, at the target for
+// the time between tokens.
+func FirstStep(betweenTokens time.Duration) time.Duration {
+	return betweenTokens * 3 / 2
 }
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -11,6 +11,7 @@
 	"gooseberrypin.example/router/admission"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/decode"
+	"gooseberrypin.example/router/dispatch"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/lease"
 	"gooseberrypin.example/router/order"
@@ -153,7 +154,9 @@
 	c.memory.Store(decode.NewMemory(defaultPieces, defaultPieceTokens))
 	c.pace.Store(decode.NewPace(defaultBetweenTokens))
 	c.between = defaultBetweenTokens
-	c.queue = prefill.NewQueue(prefill.WithGate(admission.NewGate(random)))
+	c.queue = prefill.NewQueue(
+		prefill.WithGate(admission.NewGate(random, admission.WithMargin(dispatch.Margin))),
+		prefill.WithAfter(c.afterPrefill))
 	for _, o := range options {
 		o(c)
 	}
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/dispatch"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/prefill"
 	"gooseberrypin.example/router/refusal"
@@ -215,6 +216,11 @@
 	return nil
 }
 
+// afterPrefill is the predicted time from the end of a prefill to the first token.
+func (c *Controller) afterPrefill(tokens int) time.Duration {
+	return time.Duration(tokens)*dispatch.TransferCost + dispatch.FirstStep(c.betweenTokens())
+}
+
 func (c *Controller) count(add func(*Counters)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
