--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -9,6 +9,7 @@
 	"gooseberrypin.example/router/adapter/fleet"
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
 )
@@ -50,6 +51,7 @@
 		return nil
 	case quarantine.Quarantined:
 		c.entry.count("quarantined")
+		c.entry.log.Info(event.ContentQuarantined, "fingerprint", fingerprint, "remaining_ms", v.Remaining.Milliseconds())
 		return refusal.New(refusal.RanYes, refusal.Quarantined, v.Remaining, "this content crashed upstreams")
 	}
 	return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -113,9 +112,9 @@
 	return e
 }
 
-// WithLog writes events to w as JSON lines.
-func WithLog(w io.Writer) Option {
-	return func(e *Entry) { e.log = event.NewLog(w, e.settings.Name) }
+// WithLog writes events to a log.
+func WithLog(l event.Log) Option {
+	return func(e *Entry) { e.log = l }
 }
 
 // Run serves until ctx ends or a drain is over.
@@ -144,7 +143,7 @@
 		e.draining.Store(true)
 		e.log.Info(event.Draining)
 		go func() {
-			if !e.naive["drain"] {
+			if !e.naive[naiveDrain] {
 				e.finishRequests()
 			}
 			close(e.drained)
@@ -162,11 +161,12 @@
 	e.sidecars = sidecar.NewClient(e.http, sidecar.WithLoadObserver(func(l port.Load) { e.route.Observe(l, time.Now()) }))
 	e.claims = claim.NewHolder(e.sidecars)
 	e.crashes = newCrashes(e)
-	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes, retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)))
+	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes,
+		retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)), generation.WithLog(e.log))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
 		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
 		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
-		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive["peer_configuration"]))
+		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive[naivePeers]))
 }
 
 // process describes this process to its peers.
--- a/entry/keeping.go
+++ b/entry/keeping.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrypin.example/router/claim"
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/generation"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
@@ -43,7 +44,7 @@
 
 func (k *keeping) claim(ctx context.Context) claim.Outcome {
 	g := &k.record.Generation
-	if k.entry.naive["claim"] {
+	if k.entry.naive[naiveClaim] {
 		return claim.Claimed{KeyDigest: g.KeyDigest(), Keeper: k.entry.id, Number: uint64(time.Now().UnixMilli())}
 	}
 	return k.entry.claims.Claim(ctx, k.homes(), claim.Request{
@@ -82,6 +83,7 @@
 		}
 	}
 	k.unreachable = held.Keeper
+	k.entry.log.Info(event.KeeperTakenOver, "from", held.Keeper)
 	return nil, true
 }
 
@@ -128,9 +130,10 @@
 // does not wait for that.
 func (k *keeping) refused(why *refusal.Refusal, c claim.Claimed) (*refusal.Refusal, bool) {
 	if why.Reason == refusal.StaleAttempt {
+		k.entry.log.Info(event.ClaimMoved, "attempt", c.Number)
 		return nil, true
 	}
-	if !k.entry.naive["claim"] {
+	if !k.entry.naive[naiveClaim] {
 		go k.entry.claims.Settle(context.Background(), c, false)
 	}
 	return why, false
@@ -138,7 +141,7 @@
 
 // settle ends the answer if this entry still holds the claim: only one entry can.
 func (k *keeping) settle(c claim.Claimed) (why *refusal.Refusal, again bool) {
-	if k.entry.naive["claim"] {
+	if k.entry.naive[naiveClaim] {
 		k.record.Finish(k.whole.FinishReason)
 		return nil, false
 	}
@@ -150,6 +153,7 @@
 		k.record.Finish(k.whole.FinishReason)
 		return nil, false
 	case claim.Lost:
+		k.entry.log.Info(event.ClaimMoved, "attempt", c.Number)
 		return nil, true
 	case claim.Unknown:
 	}
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -10,6 +10,7 @@
 	"gooseberrypin.example/router/adapter/fleet"
 	"gooseberrypin.example/router/adapter/peer"
 	"gooseberrypin.example/router/adapter/wire"
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/lease"
 	"gooseberrypin.example/router/port"
 )
@@ -63,7 +64,13 @@
 
 // expireRelays ends the connections of relays that went silent.
 func (e *Entry) expireRelays(ctx context.Context) {
-	every(ctx, expireInterval, func() { e.relays.cancel(e.relays.table.Expire(time.Now())) })
+	every(ctx, expireInterval, func() {
+		expired := e.relays.table.Expire(time.Now())
+		if len(expired) > 0 {
+			e.log.Info(event.RelayLost, "connections", len(expired))
+		}
+		e.relays.cancel(expired)
+	})
 }
 
 // renewLeases sends one heartbeat to each process where anything is held.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -115,7 +115,7 @@
 			}
 		}
 	}
-	if e.naive["keeper_lost"] {
+	if e.naive[naiveKeeperLost] {
 		return nil
 	}
 	return keeperLost(address)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,9 +1,18 @@
 package entry
 
 import (
+	"slices"
+
 	"gooseberrypin.example/router/settings"
 )
 
+const (
+	naiveClaim      = "claim"
+	naiveDrain      = "drain"
+	naiveKeeperLost = "keeper_lost"
+	naivePeers      = "peer_configuration"
+)
+
 type (
 	// Settings are the settings of an entry.
 	Settings struct {
@@ -20,5 +29,10 @@
 	var f settings.Faults
 	s.Process.Check(&f)
 	f.Address("caller_address", s.CallerAddress)
+	for _, name := range s.Naive {
+		if !slices.Contains([]string{naiveClaim, naiveDrain, naiveKeeperLost, naivePeers}, name) {
+			f.Addf("naive: %q is unknown", name)
+		}
+	}
 	return f.Err()
 }
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/request"
@@ -295,6 +296,7 @@
 func (w *work) unreachable(t Target) *refusal.Refusal {
 	if !w.gone() {
 		w.runner.route.Down(t.Upstream, time.Now())
+		w.runner.log.Info(event.UpstreamUnreachable, "upstream", t.Upstream)
 	}
 	return refusal.New(refusal.RanNo, refusal.UpstreamLost, defaultRetryAfter, "%s can't be reached", t.Upstream)
 }
