Give a completion to another connection only once its fate is known

The wait begins when the completion was sent, and is 5 s; a connection that fails gives it back at once.

--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -94,6 +94,7 @@
 			return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
 		}
 		if p.Completion != nil {
+			reader.Sent()
 			return nil
 		}
 	}
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -17,8 +17,8 @@
 	finished
 	failed
 
-	// handedWait bounds the wait for the fate of a completion that was handed on.
-	handedWait = time.Second
+	// handedWait bounds the wait for the word that a completion which was sent on arrived.
+	handedWait = 5 * time.Second
 )
 
 type (
@@ -232,6 +232,12 @@
 	}
 }
 
+// Sent tells that the completion was sent on. Unless Deliver follows, another connection
+// may have it after a while.
+func (d *Reader) Sent() {
+	time.AfterFunc(handedWait, func() { d.record.takeBack(d) })
+}
+
 // Return tells that the caller did not get the completion.
 func (d *Reader) Return() {
 	d.record.takeBack(d)
@@ -282,7 +288,6 @@
 	if d.next < len(r.tokens) || r.completion != nil {
 		if r.completion != nil {
 			r.handed = d
-			time.AfterFunc(handedWait, func() { r.takeBack(d) })
 		}
 		piece := Piece{AnswerID: r.answerID, Offset: d.next, Completion: r.completion}
 		if d.next < len(r.tokens) {
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -108,6 +108,59 @@
 	})
 }
 
+func TestCompletionGoesToOneConnection(t *testing.T) {
+	cases := map[string]struct {
+		fate func(*request.Record, *request.Reader)
+		// waits is how long the second connection waits for its end.
+		waits  time.Duration
+		reason refusal.Reason
+	}{
+		"still being sent": {
+			fate:  func(*request.Record, *request.Reader) {},
+			waits: time.Minute, reason: refusal.Cancelled,
+		},
+		"sent, and delivered later": {
+			fate: func(r *request.Record, d *request.Reader) {
+				d.Sent()
+				time.AfterFunc(3*time.Second, r.Deliver)
+			},
+			waits: 3 * time.Second, reason: refusal.AlreadyAnswered,
+		},
+		"sent, and never heard of": {
+			fate:  func(_ *request.Record, d *request.Reader) { d.Sent() },
+			waits: 5 * time.Second,
+		},
+		"not sent": {
+			fate: func(_ *request.Record, d *request.Reader) { d.Return() },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				r := open(t, request.NewBook())
+				first, _ := r.Join(request.Position{})
+				r.Append([]string{"a"})
+				r.Finish("stop")
+				_, why := readAll(ctx, first)
+				is.True(why == nil)
+				second, _ := r.Join(request.Position{})
+				c.fate(r, first)
+				began := time.Now()
+				_, why = readAll(ctx, second)
+				is.Equal(time.Since(began), c.waits)
+				if c.reason == 0 {
+					is.True(why == nil)
+					return
+				}
+				is.Equal(why.Reason, c.reason)
+			})
+		})
+	}
+}
+
 func TestKeyReusedForOtherContentIsRefused(t *testing.T) {
 	is := is.New(t)
 	b := request.NewBook()
