--- a/entry/call.go
+++ b/entry/call.go
@@ -88,8 +88,8 @@
 // callAnywhere runs a repeatable call at some member of the pool, and at others when one is lost.
 func (e *Entry) callAnywhere(ctx context.Context, rule *configuration.Rule, run *fleetv1.RunRequest) (*fleetv1.RunResult, *refusal.Refusal) {
 	var last *refusal.Refusal
-	members := e.route.Spread(rule.ServicePool, callTargets, time.Now())
-	for _, u := range members {
+	ran := refusal.RanNo
+	for _, u := range e.route.Spread(rule.ServicePool, callTargets, time.Now()) {
 		result, why, err := e.runAt(ctx, u, run)
 		if err == nil && why == nil {
 			return result, nil
@@ -98,7 +98,8 @@
 			e.route.Down(u.Name, time.Now())
 			why = refusal.New(refusal.RanUnknown, refusal.UpstreamLost, homeLostRetry, "%s can't be reached", u.Name)
 		}
-		last = why
+		ran = max(ran, why.Ran)
+		last = why.AtLeast(ran)
 		if ctx.Err() != nil {
 			break
 		}
