--- a/router/request/book.go
+++ b/router/request/book.go
@@ -12,7 +12,7 @@
 	bookShards      = 16
 	defaultGrace    = 200 * time.Millisecond
 	defaultKeep     = 30 * time.Second
-	defaultRemember = 10 * time.Minute
+	defaultRemember = time.Minute
 	defaultMaxKept  = 65_536
 	bookFullRetry   = time.Second
 )
