--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -65,7 +65,7 @@
 	if why := e.crashes.check(g.Fingerprint(), time.Now()); why != nil {
 		return why
 	}
-	r, isNew, why := e.book.Open(g, time.Now())
+	r, isNew, why := e.book.Open(g)
 	if why != nil {
 		return why
 	}
--- a/router/request/book.go
+++ b/router/request/book.go
@@ -73,7 +73,7 @@
 
 // Open returns the record of a key and whether it is new. A key used for other
 // content is refused, as is a new key when the book is full.
-func (b *Book) Open(g Generation, now time.Time) (r *Record, isNew bool, why *refusal.Refusal) {
+func (b *Book) Open(g Generation) (r *Record, isNew bool, why *refusal.Refusal) {
 	keyDigest := g.KeyDigest()
 	s := b.shard(keyDigest)
 	s.mu.Lock()
@@ -88,7 +88,7 @@
 	if len(s.records) >= b.maxKept/bookShards {
 		return nil, false, refusal.New(refusal.RanNo, refusal.TableFull, bookFullRetry, "the entry keeps as many requests as it can")
 	}
-	r = newRecord(g, now, b.grace)
+	r = newRecord(g, b.grace)
 	s.records[keyDigest] = r
 	return r, true, nil
 }
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -25,8 +25,6 @@
 		Generation Generation
 		// ContentDigest detects a key used again for other content.
 		ContentDigest string
-		// Arrived is when the first connection came.
-		Arrived time.Time
 
 		mu         sync.Mutex
 		answerID   string
@@ -52,12 +50,11 @@
 	recordState int
 )
 
-func newRecord(g Generation, now time.Time, grace time.Duration) *Record {
+func newRecord(g Generation, grace time.Duration) *Record {
 	return &Record{
 		answerID:      rand.Text(),
 		Generation:    g,
 		ContentDigest: g.ContentDigest(),
-		Arrived:       now,
 		state:         running,
 		text:          sha256.New(),
 		changed:       make(chan struct{}),
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -17,7 +17,7 @@
 
 func open(t *testing.T, b *request.Book) *request.Record {
 	t.Helper()
-	r, _, why := b.Open(generation, time.Now())
+	r, _, why := b.Open(generation)
 	is.New(t).True(why == nil)
 	return r
 }
@@ -167,6 +167,6 @@
 	open(t, b)
 	other := generation
 	other.Prompt = "something else"
-	_, _, why := b.Open(other, time.Now())
+	_, _, why := b.Open(other)
 	is.Equal(why.Reason, refusal.KeyReused)
 }
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -86,11 +86,6 @@
 	return KeyDigest(g.Partner, g.Key)
 }
 
-// PromptTokens estimates the prompt's length in tokens.
-func (g *Generation) PromptTokens() int {
-	return Tokens(g.Prompt)
-}
-
 // Tokens estimates the length of a text in tokens.
 func Tokens(text string) int {
 	return max(1, len(text)/bytesPerToken)
--- a/scenario/capacity/state.go
+++ b/scenario/capacity/state.go
@@ -81,7 +81,6 @@
 
 // InFlight measures one request at its keeper, without its answer and connections.
 func (b *Bench) InFlight() ([]Slope, error) {
-	now := time.Now()
 	book := request.NewBook(request.WithMaxRecords(2 * b.Items))
 	m := newMeter()
 	for i := range b.Items {
@@ -92,7 +91,7 @@
 			Prompt:          "a prompt",
 			MaxOutputTokens: outputTokens,
 		}
-		if _, _, why := book.Open(g, now); why != nil {
+		if _, _, why := book.Open(g); why != nil {
 			return nil, eris.New(why.String())
 		}
 	}
