Let one piece of code draw, count tokens and read a booking's key

Cause: the draw of one or two candidates stood in prefill and decode, the estimate of a prompt's tokens in request, prefill and the sidecar, and a booking's call was read from its message twice. They are subset.Draw, prefill.Tokens and toCall now. Ruled out: any change of behaviour; the draws come in the same order.

--- a/router/decode/strategy.go
+++ b/router/decode/strategy.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+
+	"gooseberrypin.example/router/subset"
 )
 
 type (
@@ -30,25 +32,10 @@
 func narrow(s Strategy, candidates []string, random *rand.Rand) []string {
 	switch s.(type) {
 	case RandomTwo:
-		return draw(candidates, 2, random)
+		return subset.Draw(candidates, 2, random)
 	case RandomOne:
-		return draw(candidates, 1, random)
+		return subset.Draw(candidates, 1, random)
 	case BestOfAll:
 	}
 	return candidates
 }
-
-func draw(candidates []string, n int, random *rand.Rand) []string {
-	if len(candidates) <= n {
-		return candidates
-	}
-	first := random.IntN(len(candidates))
-	if n == 1 {
-		return candidates[first : first+1]
-	}
-	second := random.IntN(len(candidates) - 1)
-	if second >= first {
-		second++
-	}
-	return []string{candidates[first], candidates[second]}
-}
--- a/router/generation/work.go
+++ b/router/generation/work.go
@@ -8,6 +8,7 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/prefill"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/request"
 )
@@ -213,7 +214,7 @@
 		Partner:         w.job.Generation.Partner,
 		Model:           w.job.Generation.Model,
 		Fingerprint:     w.job.Fingerprint,
-		PromptTokens:    request.Tokens(w.prompt()),
+		PromptTokens:    prefill.Tokens(w.prompt()),
 		MaxOutputTokens: w.maxOutput(),
 		Hold:            w.runner.hold,
 	})
--- a/router/prefill/strategy.go
+++ b/router/prefill/strategy.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"gooseberrypin.example/router/rendezvous"
+	"gooseberrypin.example/router/subset"
 )
 
 type (
@@ -39,9 +40,9 @@
 func narrow(s Strategy, p Prompt, candidates []string, random *rand.Rand) []string {
 	switch s := s.(type) {
 	case RandomTwo:
-		return draw(candidates, 2, random)
+		return subset.Draw(candidates, 2, random)
 	case RandomOne:
-		return draw(candidates, 1, random)
+		return subset.Draw(candidates, 1, random)
 	case Hashed:
 		return hashed(p, candidates, s.Count)
 	case BestOfAll:
@@ -49,21 +50,6 @@
 	return candidates
 }
 
-func draw(candidates []string, n int, random *rand.Rand) []string {
-	if len(candidates) <= n {
-		return candidates
-	}
-	first := random.IntN(len(candidates))
-	if n == 1 {
-		return candidates[first : first+1]
-	}
-	second := random.IntN(len(candidates) - 1)
-	if second >= first {
-		second++
-	}
-	return []string{candidates[first], candidates[second]}
-}
-
 func hashed(p Prompt, candidates []string, n int) []string {
 	if len(p.Blocks) == 0 {
 		return candidates
--- a/router/request/request.go
+++ b/router/request/request.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	bytesPerToken = 4
 	// digestBytes of a SHA-256 identify keys and contents; they stand in each heartbeat.
 	digestBytes = 16
 )
@@ -86,11 +85,6 @@
 	return KeyDigest(g.Partner, g.Key)
 }
 
-// Tokens estimates the length of a text in tokens.
-func Tokens(text string) int {
-	return max(1, len(text)/bytesPerToken)
-}
-
 // digest hashes parts with their lengths, so that no two lists of parts collide.
 func digest(parts ...string) string {
 	h := sha256.New()
--- a/router/subset/subset.go
+++ b/router/subset/subset.go
@@ -2,6 +2,8 @@
 package subset
 
 import (
+	"math/rand/v2"
+
 	"gooseberrypin.example/router/rendezvous"
 )
 
@@ -45,3 +47,19 @@
 	selected := rendezvous.Rank(process, near, size)
 	return append(selected, rendezvous.Rank(process, far, size-len(selected))...)
 }
+
+// Draw returns up to two candidates drawn at random: n is 1 or 2.
+func Draw(candidates []string, n int, random *rand.Rand) []string {
+	if len(candidates) <= n {
+		return candidates
+	}
+	first := random.IntN(len(candidates))
+	if n == 1 {
+		return candidates[first : first+1]
+	}
+	second := random.IntN(len(candidates) - 1)
+	if second >= first {
+		second++
+	}
+	return []string{candidates[first], candidates[second]}
+}
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -21,7 +21,6 @@
 	startWait     = 500 * time.Millisecond
 	queueInterval = 5 * time.Millisecond
 	queueRetry    = 50 * time.Millisecond
-	bytesPerToken = 4
 )
 
 type (
@@ -92,7 +91,7 @@
 	r := c.queue.Push(prefill.Item{
 		Attempt:  w.item,
 		Partner:  p.Partner,
-		Tokens:   max(1, len(p.Prompt)/bytesPerToken),
+		Tokens:   prefill.Tokens(p.Prompt),
 		Arrived:  now,
 		Deadline: now.Add(budget),
 		Late:     p.Late,
--- a/sidecar/service/run.go
+++ b/sidecar/service/run.go
@@ -17,6 +17,17 @@
 	retryLeaving = 100 * time.Millisecond
 )
 
+type (
+	// keyed is a message about a key.
+	keyed interface {
+		GetKeyDigest() string
+		GetKeyCreatedUnixMs() int64
+		GetContentDigest() string
+		GetPool() string
+		GetRevision() int64
+	}
+)
+
 // Run implements fleetv1.Bookings.
 func (c *Sidecar) Run(ctx context.Context, r *fleetv1.RunRequest) (*fleetv1.RunResponse, error) {
 	c.sync()
@@ -30,13 +41,7 @@
 func (c *Sidecar) Tombstone(ctx context.Context, r *fleetv1.TombstoneRequest) (*fleetv1.RunResponse, error) {
 	c.sync()
 	c.metrics.Add("tombstones", 1)
-	call := booking.Call{
-		Key:      r.GetKeyDigest(),
-		Created:  time.UnixMilli(r.GetKeyCreatedUnixMs()),
-		Content:  r.GetContentDigest(),
-		Pool:     r.GetPool(),
-		Revision: r.GetRevision(),
-	}
+	call := toCall(r)
 	for {
 		o := c.home.Tombstone(call, time.Now())
 		j, joined := o.(booking.Joined)
@@ -49,15 +54,20 @@
 	}
 }
 
-// decide runs a call, joins the run of its key, or answers from its record.
-func (c *Sidecar) decide(ctx context.Context, r *fleetv1.RunRequest) *fleetv1.RunResponse {
-	call := booking.Call{
+// toCall returns what a home decides on.
+func toCall(r keyed) booking.Call {
+	return booking.Call{
 		Key:      r.GetKeyDigest(),
 		Created:  time.UnixMilli(r.GetKeyCreatedUnixMs()),
 		Content:  r.GetContentDigest(),
 		Pool:     r.GetPool(),
 		Revision: r.GetRevision(),
 	}
+}
+
+// decide runs a call, joins the run of its key, or answers from its record.
+func (c *Sidecar) decide(ctx context.Context, r *fleetv1.RunRequest) *fleetv1.RunResponse {
+	call := toCall(r)
 	for {
 		switch o := c.home.Begin(call, time.Now()).(type) {
 		case booking.Granted:
