--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project. The README lists them.
-MODULES := gen router entry sidecar gooseberryctl standin scenario
-CHECKED := router entry sidecar gooseberryctl standin scenario
+MODULES := gen router entry sidecar gooseberryctl standin scenario platform
+CHECKED := router entry sidecar gooseberryctl standin scenario platform
 GOLANGCI_VERSION := v2.15.0
 # Property tests draw the same cases each time.
 export RAPID_SEED := 1
--- a/router/command/command.go
+++ b/router/command/command.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -19,6 +20,9 @@
 
 	exitFailed = 1
 	exitUsage  = 2
+
+	// logDrain is how long the last log lines may take to be written at the end.
+	logDrain = 200 * time.Millisecond
 )
 
 type (
@@ -63,7 +67,12 @@
 		return exitUsage
 	}
 	process, err := d.Read()
-	log := event.NewLog(os.Stderr, process)
+	lines := event.NewQueue(os.Stdout)
+	defer lines.Close(logDrain)
+	log := event.NewBoundedLog(lines, process)
+	ended := make(chan struct{})
+	defer close(ended)
+	go log.ReportDropped(ended)
 	if err != nil {
 		log.Error(err, event.SettingsRefused)
 		return exitUsage
--- a/router/event/event.go
+++ b/router/event/event.go
@@ -24,6 +24,8 @@
 	// Log writes numbered events as JSON lines.
 	Log struct {
 		logger logr.Logger
+		// gate bounds the lines a second; nil: no bound.
+		gate *gate
 	}
 )
 
@@ -40,10 +42,24 @@
 
 // Info writes an event with alternating field names and values.
 func (l Log) Info(e Event, fields ...any) {
+	if l.gate != nil && !l.gate.allow(l.gate.plain) {
+		return
+	}
 	l.logger.Info(e.Text, append([]any{numberField, e.Number}, fields...)...)
 }
 
 // Error writes an event with the error that caused it.
 func (l Log) Error(err error, e Event, fields ...any) {
+	if l.gate != nil && !l.gate.allow(l.gate.failure) {
+		return
+	}
 	l.logger.Error(err, e.Text, append([]any{numberField, e.Number}, fields...)...)
 }
+
+// Warn writes an event about a request that was not served. It is dropped later than others.
+func (l Log) Warn(e Event, fields ...any) {
+	if l.gate != nil && !l.gate.allow(l.gate.failure) {
+		return
+	}
+	l.logger.Info(e.Text, append([]any{numberField, e.Number}, fields...)...)
+}
--- /dev/null
+++ b/router/event/ingress.go
@@ -0,0 +1,31 @@
+package event
+
+// Events of an entry that serves HTTP requests by routes.
+var (
+	// RequestServed tells what decided a request that got an upstream's answer.
+	RequestServed = Event{Number: 6001, Text: "request served"}
+	// RequestRefused tells why a request got no whole answer of an upstream.
+	RequestRefused = Event{Number: 6002, Text: "request refused"}
+	// UpstreamEjected tells that an upstream gets no work for a pause.
+	UpstreamEjected = Event{Number: 6003, Text: "upstream ejected"}
+	// UpstreamReplaced tells that another incarnation answers at an upstream's address.
+	UpstreamReplaced = Event{Number: 6004, Text: "upstream replaced"}
+	// UpstreamFound tells that an upstream was published.
+	UpstreamFound = Event{Number: 6005, Text: "upstream found"}
+	// UpstreamChanged tells that an upstream published other facts of itself.
+	UpstreamChanged = Event{Number: 6006, Text: "upstream changed"}
+	// UpstreamGone tells that an upstream is no longer published.
+	UpstreamGone = Event{Number: 6007, Text: "upstream gone"}
+	// UpstreamUnreadable tells that an entry of the list names no upstream.
+	UpstreamUnreadable = Event{Number: 6008, Text: "upstream unreadable"}
+	// SettingsReloaded tells that changed settings are in force.
+	SettingsReloaded = Event{Number: 6009, Text: "settings reloaded"}
+	// ReadinessChanged tells whether the entry asks for new connections.
+	ReadinessChanged = Event{Number: 6010, Text: "readiness changed"}
+	// LinesDropped tells that log lines were dropped to bound the volume.
+	LinesDropped = Event{Number: 6011, Text: "log lines dropped"}
+	// FreeFailed tells that memory could not be given back to an engine; it expires there.
+	FreeFailed = Event{Number: 6013, Text: "freeing memory failed"}
+	// ListRead tells that the whole list of upstreams was read anew.
+	ListRead = Event{Number: 6012, Text: "upstream list read"}
+)
--- /dev/null
+++ b/router/exchange/exchange.go
@@ -0,0 +1,152 @@
+// Package exchange sends HTTP/1.1 requests to upstreams over connections that it owns, exactly
+// once each: it never repeats a request by itself, and says whether one may have arrived.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxStrays is the number of answers to earlier requests that are skipped on one connection.
+	maxStrays = 2
+)
+
+var (
+	errStrays = eris.New("too many answers to other requests")
+	// ErrSilent tells that no answer began within the request's time.
+	ErrSilent = eris.New("no answer in time")
+)
+
+type (
+	// Result is what is known of one sent request.
+	//
+	//sumtype:decl
+	Result interface{ result() }
+
+	// NotSent requests never reached the upstream.
+	NotSent struct{ Err error }
+
+	// Lost requests were sent, at least in part, and have no whole answer head. They may run.
+	Lost struct{ Err error }
+
+	// Answered requests have an answer, whose body is still to be read and released.
+	Answered struct {
+		Response *http.Response
+		Body     *Body
+		// Reused tells that the connection had served an earlier request.
+		Reused bool
+	}
+
+	// Request is one request to one address.
+	Request struct {
+		Address string
+		// HTTP is written as it stands. Its body is a byte slice with a known length.
+		HTTP *http.Request
+		// Answers reports whether a response belongs to this request; nil takes any.
+		Answers func(*http.Response) bool
+		// Connect bounds the opening of a connection; zero takes the client's own bound.
+		Connect time.Duration
+		// Wait bounds the time until the head of the answer; zero leaves it to the context.
+		Wait time.Duration
+	}
+
+	// Client sends requests. It is safe for concurrent use.
+	Client struct {
+		dial  func(ctx context.Context, address string) (*conn, error)
+		idle  *idlePool
+		dials atomic.Int64
+	}
+
+	// Body is the body of an answer. Read to its end, it gives the connection back.
+	Body struct {
+		source io.Reader
+		once   sync.Once
+		finish func(whole bool)
+		whole  bool
+	}
+)
+
+func (NotSent) result()  {}
+func (Lost) result()     {}
+func (Answered) result() {}
+
+// Dials is the number of connections opened so far.
+func (c *Client) Dials() int64 {
+	return c.dials.Load()
+}
+
+// Do sends a request. Ending ctx closes its connection, also while the body is read.
+func (c *Client) Do(ctx context.Context, r Request) Result {
+	k, err := c.connection(ctx, r)
+	if err != nil {
+		return NotSent{Err: err}
+	}
+	stop := context.AfterFunc(ctx, k.abort)
+	reused := k.requests > 0
+	k.requests++
+	written := k.send(r.HTTP)
+	response, err := k.receive(r)
+	if err != nil {
+		stop()
+		k.abort()
+		failed := <-written
+		if k.sent() == 0 {
+			return NotSent{Err: eris.Wrap(errors.Join(err, failed), "upstream")}
+		}
+		return Lost{Err: eris.Wrap(err, "upstream")}
+	}
+	return Answered{Response: response, Body: c.attach(k, response, stop, written), Reused: reused}
+}
+
+func (c *Client) connection(ctx context.Context, r Request) (*conn, error) {
+	if k := c.idle.take(r.Address, time.Now()); k != nil {
+		return k, nil
+	}
+	c.dials.Add(1)
+	if r.Connect > 0 {
+		limited, cancel := context.WithTimeout(ctx, r.Connect)
+		defer cancel()
+		ctx = limited
+	}
+	return c.dial(ctx, r.Address)
+}
+
+// attach makes the end of the body decide what becomes of the connection.
+func (c *Client) attach(k *conn, response *http.Response, stop func() bool, written <-chan error) *Body {
+	finish := func(whole bool) {
+		live := stop()
+		select {
+		case err := <-written:
+			if live && whole && err == nil && k.reusable(response) {
+				c.idle.put(k, time.Now())
+				return
+			}
+		default: // The upstream answered before it had read the request.
+		}
+		k.abort()
+	}
+	return &Body{source: response.Body, finish: finish}
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+		b.once.Do(func() { b.finish(true) })
+	}
+	return n, err
+}
+
+// Release gives up what was not read. The connection is closed unless the body was read whole.
+func (b *Body) Release() {
+	b.once.Do(func() { b.finish(b.whole) })
+}
--- /dev/null
+++ b/router/gateway/call.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// maxCallBody bounds the answer of a plain service, which is read whole before it is passed on.
+	maxCallBody = 8 << 20
+	// maxNotRun bounds the upstreams that may turn one request away.
+	maxNotRun = 3
+	// fullRetry is when a caller comes back to a pool whose upstreams are all full.
+	fullRetry = 300 * time.Millisecond
+)
+
+var (
+	errTooLong = eris.New("the answer is too long")
+)
+
+type (
+	// callResult is what one send to a plain service came to.
+	callResult struct {
+		member *upstream.Member
+		result Result
+		body   []byte
+		took   time.Duration
+	}
+)
+
+// call serves a request to a plain service. What may not be repeated is sent again only when an
+// upstream said that it did not run it. What may be repeated is sent to a second upstream beside
+// the first when that one is slow: it answers upstreams that hang while their health is good.
+func (w *work) call(ctx context.Context) *refusal.Refusal {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	repeatable := ingress.Repeatable(w.route.Kind)
+	results := make(chan callResult, w.route.MaxAttempts+maxNotRun)
+	tried := make(map[string]bool)
+	var failure *callResult
+	running, ran, notRun := 0, 0, 0
+	if !w.send(ctx, tried, results) {
+		return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetry, "no upstream in %s", w.pool.Name)
+	}
+	running++
+	hedge := time.NewTimer(w.hedgeAfter())
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case <-ctx.Done():
+			return w.ended(ctx, refusal.RanUnknown)
+		case <-hedge.C:
+			if repeatable && ran+running < w.route.MaxAttempts && w.shared.budget.Allow() && w.send(ctx, tried, results) {
+				running++
+			}
+		case c := <-results:
+			running--
+			again := false
+			switch r := c.result.(type) {
+			case Answer:
+				if r.Status < http.StatusInternalServerError {
+					return w.deliver(c, r)
+				}
+				ran++
+				failure = &c
+				again = repeatable && ran+running < w.route.MaxAttempts && running == 0
+			case NotRun:
+				notRun++
+				again = running == 0 && notRun < maxNotRun
+			case Unknown:
+				ran++
+				if failure == nil {
+					failure = &c
+				}
+				again = repeatable && ran+running < w.route.MaxAttempts && running == 0
+			}
+			if again && w.affordable(c.result) && w.send(ctx, tried, results) {
+				running++
+			}
+		}
+	}
+	return w.conclude(ctx, failure)
+}
+
+// affordable spends the retry budget, except for a request that never left this process.
+func (w *work) affordable(r Result) bool {
+	if n, ok := r.(NotRun); ok && n.Reason == Unreachable {
+		return true
+	}
+	return w.shared.budget.Allow()
+}
+
+// hedgeAfter is when a second upstream is tried beside a silent first one: half of the target
+// leaves the second one time to meet it.
+func (w *work) hedgeAfter() time.Duration {
+	if w.route.Target <= 0 {
+		return w.route.Timeout
+	}
+	return w.route.Target / 2
+}
+
+// send starts a send to another upstream and reports whether there is one.
+func (w *work) send(ctx context.Context, tried map[string]bool, results chan<- callResult) bool {
+	m := w.gateway.pick(w.pool.Name, upstream.PhaseNone, chooseService, w.gateway.dataCentre, tried)
+	if m == nil {
+		return false
+	}
+	tried[m.ID] = true
+	w.record.Upstream = m.ID
+	w.record.Sends++
+	m.Begin(0)
+	go func() {
+		defer m.End(0)
+		began := time.Now()
+		c := callResult{member: m, result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
+		if a, ok := c.result.(Answer); ok {
+			c.body, c.result = readWhole(a)
+		}
+		c.took = time.Since(began)
+		w.gateway.learn(ctx, c)
+		results <- c
+	}()
+	return true
+}
+
+// readWhole reads the body of an answer. One that breaks off leaves open what ran.
+func readWhole(a Answer) ([]byte, Result) {
+	defer a.Body.Release()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxCallBody+1))
+	switch {
+	case err != nil:
+		return nil, Unknown{Err: eris.Wrap(err, "answer broke off")}
+	case len(body) > maxCallBody:
+		return nil, Unknown{Err: errTooLong}
+	}
+	return body, a
+}
+
+// learn keeps what a send told of its upstream. A send that the caller ended tells nothing.
+func (g *Gateway) learn(ctx context.Context, c callResult) {
+	if ctx.Err() != nil {
+		return
+	}
+	switch r := c.result.(type) {
+	case Answer:
+		if r.Status < http.StatusInternalServerError {
+			c.member.Succeeded(c.took)
+		}
+	case NotRun:
+		g.note(c.member, r.Reason, r.Err)
+	case Unknown:
+		g.failed(c.member, r.Err)
+	}
+}
+
+func (w *work) deliver(c callResult, a Answer) *refusal.Refusal {
+	w.record.Upstream = c.member.ID
+	w.record.Status = a.Status
+	w.record.First = time.Since(w.request.Arrived)
+	w.reply.Begin(a.Status, a.Header, int64(len(c.body)))
+	if err := w.reply.Write(c.body); err != nil {
+		return refusal.New(refusal.RanYes, refusal.Cancelled, 0, "the caller left: %v", err)
+	}
+	return nil
+}
+
+// conclude ends a request that no upstream answered well: with the upstream's own failure if there
+// is one, else with what is known of the run.
+func (w *work) conclude(ctx context.Context, failure *callResult) *refusal.Refusal {
+	if failure == nil {
+		if ctx.Err() != nil {
+			return w.ended(ctx, refusal.RanNo)
+		}
+		return refusal.New(refusal.RanNo, refusal.Overloaded, fullRetry, "no upstream of %s took the request", w.pool.Name)
+	}
+	switch r := failure.result.(type) {
+	case Answer:
+		return w.deliver(*failure, r)
+	case Unknown:
+		w.record.Cause = r.Err.Error()
+	case NotRun:
+	}
+	if ctx.Err() != nil {
+		return w.ended(ctx, refusal.RanUnknown)
+	}
+	return refusal.New(refusal.RanUnknown, refusal.UpstreamLost, 0, "upstream %s gave no whole answer", failure.member.ID)
+}
--- /dev/null
+++ b/router/gateway/gateway.go
@@ -0,0 +1,189 @@
+// Package gateway serves the HTTP requests of callers in front of upstreams that hold their own
+// reservations: it finds the route, chooses upstreams, decides what may be sent again, and relays
+// answers. It keeps no state beyond a request but what it has seen of upstreams.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/retry"
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// defaultRetryRatio is the share of requests that may be sent once more.
+	defaultRetryRatio = 0.1
+	// noUpstreamRetry is when a caller comes back to a pool that has no upstream: a restart
+	// takes about that long.
+	noUpstreamRetry = time.Second
+	// noConfigurationRetry is when a caller comes back to an entry that has just started.
+	noConfigurationRetry = 500 * time.Millisecond
+	// leavingRetry is when a caller comes back from an entry that stops: others are there.
+	leavingRetry = 10 * time.Millisecond
+)
+
+type (
+	// Gateway serves requests. It is safe for concurrent use.
+	Gateway struct {
+		rules      *ingress.Store
+		directory  *upstream.Directory
+		upstreams  Upstreams
+		log        event.Log
+		observe    Observer
+		dataCentre string
+		retryRatio float64
+
+		mu      sync.Mutex
+		random  *rand.Rand
+		pools   map[string]*pool
+		leaving time.Time
+	}
+
+	// Option changes a gateway.
+	Option func(*Gateway)
+
+	// pool is what the gateway keeps for one pool.
+	pool struct {
+		budget *retry.Budget
+		line   *line.Line
+		pace   *pace
+	}
+)
+
+// New returns a gateway that follows the rules in force and the directory.
+func New(rules *ingress.Store, directory *upstream.Directory, upstreams Upstreams, opts ...Option) *Gateway {
+	g := &Gateway{
+		rules:      rules,
+		directory:  directory,
+		upstreams:  upstreams,
+		log:        event.Discard(),
+		observe:    func(Record) {},
+		retryRatio: defaultRetryRatio,
+		random:     rand.New(rand.NewPCG(1, 1)),
+		pools:      make(map[string]*pool),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// WithLog sets the log.
+func WithLog(log event.Log) Option {
+	return func(g *Gateway) { g.log = log }
+}
+
+// WithObserver sets what is told of each finished request.
+func WithObserver(observe Observer) Option {
+	return func(g *Gateway) { g.observe = observe }
+}
+
+// WithDataCentre sets where the entry is, so that close upstreams are preferred.
+func WithDataCentre(name string) Option {
+	return func(g *Gateway) { g.dataCentre = name }
+}
+
+// WithRetryRatio sets the share of requests that may be sent once more.
+func WithRetryRatio(ratio float64) Option {
+	return func(g *Gateway) { g.retryRatio = ratio }
+}
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option {
+	return func(g *Gateway) { g.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// SetRetryRatio changes the share of requests that may be sent once more.
+func (g *Gateway) SetRetryRatio(ratio float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryRatio = ratio
+	for _, s := range g.pools {
+		s.budget.SetFraction(ratio)
+	}
+}
+
+// Leave begins a planned stop that ends by the given time. Requests that would outlast it are
+// refused, as another entry can serve them.
+func (g *Gateway) Leave(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = end
+}
+
+// Serve answers a request through the reply. A refusal tells what remains to be told the caller;
+// with a reply that has begun, that the answer is not whole.
+func (g *Gateway) Serve(ctx context.Context, r *Request, reply Reply) *refusal.Refusal {
+	record := Record{Request: r, Began: r.Arrived}
+	refused := g.serve(ctx, r, reply, &record)
+	record.Refusal = refused
+	record.Took = time.Since(r.Arrived)
+	g.observe(record)
+	g.logRequest(record)
+	return refused
+}
+
+func (g *Gateway) serve(ctx context.Context, r *Request, reply Reply, record *Record) *refusal.Refusal {
+	table := g.rules.Current()
+	if table == nil {
+		return refusal.New(refusal.RanNo, refusal.NoConfiguration, noConfigurationRetry, "no configuration yet")
+	}
+	record.Version = table.Configuration.Version
+	route := table.Match(r.Host, r.Path)
+	if route == nil {
+		return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "no route for %s%s", r.Host, r.Path)
+	}
+	record.Route = route
+	g.mu.Lock()
+	record.Pool = route.Pick(g.random)
+	g.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, r.end(route))
+	defer cancel()
+	w := &work{gateway: g, request: r, route: route, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
+	w.shared = g.shared(w.pool)
+	w.shared.budget.Try()
+	switch route.Kind.(type) {
+	case ingress.Streaming:
+		return w.generate(ctx)
+	case ingress.Idempotent, ingress.NonIdempotent:
+		return w.call(ctx)
+	}
+	return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "route of an unknown kind")
+}
+
+// shared returns what all requests to a pool share.
+func (g *Gateway) shared(p ingress.Pool) *pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, found := g.pools[p.Name]; found {
+		return s
+	}
+	s := &pool{budget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart()), pace: newPace()}
+	members := func() []*upstream.Member {
+		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
+	}
+	life := time.Second
+	if p.Engine != nil && p.Engine.MaxReservation > 0 {
+		life = p.Engine.MaxReservation
+	}
+	reserve := func(ctx context.Context, m *upstream.Member, tokens int) line.Outcome {
+		return g.reserve(ctx, m, tokens, life)
+	}
+	s.line = line.NewLine(reserve, g.upstreams.FreeReservation, members)
+	g.pools[p.Name] = s
+	return s
+}
+
+// outlasts reports whether work of the given length would outlast a planned stop.
+func (g *Gateway) outlasts(length time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leaving.IsZero() && time.Now().Add(length).After(g.leaving)
+}
--- /dev/null
+++ b/router/gateway/generate.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// hintFactor and hintMargin size a reservation from the caller's estimate of the output:
+	// most estimates are right within a third.
+	hintFactor = 1.3
+	hintMargin = 100
+	// patienceFactor times the target is how long a request waits for memory while others
+	// who can still be on time wait as well.
+	patienceFactor = 1.33
+	// expiryFactor times the target is how long a request waits in any case. Callers give a
+	// stream up after some four times the target without an event.
+	expiryFactor = 2.5
+	// maxPrefills bounds the prefill engines that one grant is tried with.
+	maxPrefills = 2
+	// maxRounds bounds the grants that one request may use up.
+	maxRounds = 6
+	// reservationMargin is left of a reservation's life for the decode request's way.
+	reservationMargin = 100 * time.Millisecond
+	// streamRetryFactor times the target is when a caller comes back whose generation found no
+	// memory.
+	streamRetryFactor = 1.5
+)
+
+type (
+	// generation is one request to a model engine on its way.
+	generation struct {
+		*work
+		relay relay
+		// avoid names the engine that failed last.
+		avoid string
+		// ran is the strongest claim on what ran.
+		ran refusal.Ran
+		// runs counts the decode engines that may have run the request.
+		runs     int
+		resuming bool
+	}
+
+	// verdict is what a round came to.
+	//
+	//sumtype:decl
+	verdict interface{ verdict() }
+
+	// done ends the request.
+	done struct{ refusal *refusal.Refusal }
+
+	// again starts another round.
+	again struct{}
+)
+
+func (done) verdict()  {}
+func (again) verdict() {}
+
+// generate serves a generation: memory at a decode engine first, then the prefill, then the decode,
+// so that no prompt is read for which there is no room.
+func (w *work) generate(ctx context.Context) *refusal.Refusal {
+	n := &generation{work: w, ran: refusal.RanNo, relay: newRelay(w)}
+	if refused := n.unservable(); refused != nil {
+		return refused
+	}
+	for range maxRounds {
+		switch v := n.round(ctx).(type) {
+		case done:
+			return v.refusal
+		case again:
+			if ctx.Err() != nil {
+				return n.ended(ctx, n.ran)
+			}
+		}
+	}
+	return refusal.New(n.ran, refusal.UpstreamLost, n.retryAfter(), "given up after %d rounds", maxRounds)
+}
+
+// unservable refuses at once what can't be served here.
+func (n *generation) unservable() *refusal.Refusal {
+	if n.request.Generation == nil {
+		n.request.Generation = &Generation{}
+	}
+	if n.gateway.outlasts(n.expected()) {
+		return refusal.New(refusal.RanNo, refusal.Leaving, leavingRetry, "the entry stops before the answer would end")
+	}
+	engine := n.pool.Engine
+	if engine != nil && engine.KVTokens > 0 && n.request.Generation.PromptTokens > engine.KVTokens {
+		return refusal.New(refusal.RanNo, refusal.Malformed, 0, "the prompt is longer than an engine's memory")
+	}
+	return nil
+}
+
+// expected is how long the generation is likely to take.
+func (n *generation) expected() time.Duration {
+	return n.shared.pace.Startup() + n.shared.pace.Length(n.request.Generation.output())
+}
+
+// output is the expected number of output tokens.
+func (g *Generation) output() int {
+	if g.LengthHint > 0 && (g.MaxOutputTokens <= 0 || g.LengthHint < g.MaxOutputTokens) {
+		return g.LengthHint
+	}
+	return g.MaxOutputTokens
+}
+
+// memory is the number of tokens to reserve: the prompt and the likely output.
+func (g *Generation) memory() int {
+	output := g.MaxOutputTokens
+	if g.LengthHint > 0 {
+		likely := int(hintFactor*float64(g.LengthHint)) + hintMargin
+		if output <= 0 || likely < output {
+			output = likely
+		}
+	}
+	return max(1, g.PromptTokens+output)
+}
+
+// round takes the generation from the line to the end of one decode.
+func (n *generation) round(ctx context.Context) verdict {
+	granted := time.Now()
+	members := n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, granted)
+	if len(members) == 0 {
+		return n.direct(ctx)
+	}
+	grant, ok := n.shared.line.Wait(ctx, n.waiter(granted))
+	n.record.Waited += time.Since(granted)
+	n.record.Reserves += grant.Tried
+	if !ok {
+		return n.unplaced(ctx)
+	}
+	granted = time.Now()
+	tokens := n.record.Tokens
+	grant.Member.Begin(tokens)
+	defer func() {
+		grant.Member.End(tokens)
+		n.shared.line.Freed(grant.Member.ID)
+	}()
+	n.record.Upstream = grant.Member.ID
+	terms := DecodeTerms{Reservation: grant.Reservation, After: n.after()}
+	prefilled, found := n.prefill(ctx, grant, &terms)
+	if !found {
+		n.gateway.upstreams.FreeReservation(grant.Member, grant.Reservation)
+		return prefilled
+	}
+	return n.decode(ctx, grant.Member, terms, granted)
+}
+
+// after is the last event that the caller has.
+func (n *generation) after() string {
+	if n.relay.began {
+		return n.relay.last()
+	}
+	return n.request.After
+}
+
+func (n *generation) waiter(now time.Time) line.Waiter {
+	r, target := n.request, n.route.Target
+	n.record.Tokens = r.Generation.memory()
+	if engine := n.pool.Engine; engine != nil && engine.KVTokens > 0 {
+		n.record.Tokens = min(n.record.Tokens, engine.KVTokens)
+	}
+	w := line.Waiter{
+		Tokens:   n.record.Tokens,
+		Arrived:  r.Arrived,
+		Due:      r.Arrived.Add(target - n.shared.pace.Startup()),
+		Patience: r.Arrived.Add(time.Duration(patienceFactor * float64(target))),
+		Expires:  r.Arrived.Add(time.Duration(expiryFactor * float64(target))),
+		Priority: n.route.Priority,
+		Size:     r.Generation.output(),
+		Resumed:  n.resuming,
+		Avoid:    n.avoid,
+	}
+	if n.resuming {
+		w.Expires = now.Add(time.Duration(expiryFactor * float64(target)))
+	}
+	if end := r.end(n.route); w.Expires.After(end) {
+		w.Expires = end
+	}
+	return w
+}
+
+// unplaced ends a generation that found no memory.
+func (n *generation) unplaced(ctx context.Context) verdict {
+	if ctx.Err() != nil {
+		return done{n.ended(ctx, n.ran)}
+	}
+	return done{refusal.New(n.ran, refusal.Overloaded, n.retryAfter(),
+		"no decode memory for %d tokens, %d others wait", n.record.Tokens, n.shared.line.Length())}
+}
+
+func (n *generation) retryAfter() time.Duration {
+	return time.Duration(streamRetryFactor * float64(n.route.Target))
+}
+
+// prefill gets the prompt's KV cache computed. It returns false with the verdict when there is none.
+func (n *generation) prefill(ctx context.Context, grant line.Grant, terms *DecodeTerms) (verdict, bool) {
+	life := time.Second
+	if n.pool.Engine != nil && n.pool.Engine.MaxReservation > 0 {
+		life = n.pool.Engine.MaxReservation
+	}
+	ctx, cancel := context.WithTimeout(ctx, life-reservationMargin)
+	defer cancel()
+	tried := make(map[string]bool)
+	for try := range maxPrefills {
+		m := n.gateway.pick(n.pool.Name, upstream.PhasePrefill, choosePrefill, grant.Member.DataCentre, tried)
+		if m == nil {
+			// Without a prefill engine the decode engine reads the prompt itself.
+			return nil, try == 0
+		}
+		if try > 0 && !n.shared.budget.Allow() {
+			break
+		}
+		tried[m.ID] = true
+		cache, ok := n.prefillAt(ctx, m)
+		if ok {
+			terms.Source, terms.Cache = m, cache
+			return nil, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return n.retryOr("no prefill engine read the prompt"), false
+}
+
+func (n *generation) prefillAt(ctx context.Context, m *upstream.Member) (string, bool) {
+	tokens := n.request.Generation.PromptTokens
+	m.Begin(tokens)
+	defer m.End(tokens)
+	n.record.Source = m.ID
+	n.record.Sends++
+	began := time.Now()
+	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, n.terms()).(type) {
+	case Prefilled:
+		m.Succeeded(time.Since(began))
+		return r.Cache, true
+	case PrefillFailed:
+		if ctx.Err() == nil {
+			n.note(m, r.Reason, r.Err)
+		}
+	}
+	return "", false
+}
+
+// retryOr starts another round if the retry budget allows.
+func (n *generation) retryOr(why string) verdict {
+	if n.shared.budget.Allow() {
+		return again{}
+	}
+	return done{refusal.New(n.ran, refusal.UpstreamLost, n.retryAfter(), "%s: %s", why, n.record.Cause)}
+}
+
+// decode streams the answer of the engine to the caller.
+func (n *generation) decode(ctx context.Context, m *upstream.Member, terms DecodeTerms, granted time.Time) verdict {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	terms.Terms = n.terms()
+	terms.Patience = n.silence()
+	n.record.Sends++
+	switch r := n.gateway.upstreams.Decode(ctx, m, n.request, terms).(type) {
+	case Answer:
+		n.ran = refusal.RanYes
+		n.runs++
+		defer r.Body.Release()
+		return n.answer(ctx, m, r, granted)
+	case NotRun:
+		if ctx.Err() == nil {
+			n.note(m, r.Reason, r.Err)
+		}
+		if terms.Source != nil {
+			n.gateway.upstreams.FreeCache(terms.Source, terms.Cache)
+		}
+		n.gateway.upstreams.FreeReservation(m, terms.Reservation)
+		return n.retryOr("the decode engine did not take the request")
+	case Unknown:
+		n.ran = max(n.ran, refusal.RanUnknown)
+		n.runs++
+		return n.lost(ctx, m, r.Err)
+	}
+	return again{}
+}
+
+// lost decides what follows when a decode engine broke off: a resumable stream goes on elsewhere.
+func (n *generation) lost(ctx context.Context, m *upstream.Member, err error) verdict {
+	if ctx.Err() != nil {
+		return done{n.ended(ctx, n.ran)}
+	}
+	n.record.Cause = err.Error()
+	n.gateway.failed(m, err)
+	n.avoid = m.ID
+	kind, _ := n.route.Kind.(ingress.Streaming)
+	if !kind.Resumable || n.runs >= n.route.MaxAttempts || !n.shared.budget.Allow() {
+		return done{refusal.New(n.ran, refusal.UpstreamLost, 0, "decode engine %s broke off: %v", m.ID, err)}
+	}
+	n.resuming = true
+	n.record.Resumed++
+	return again{}
+}
+
+// direct serves a generation at a pool whose upstreams have no phases.
+func (n *generation) direct(ctx context.Context) verdict {
+	m := n.gateway.pick(n.pool.Name, upstream.PhaseNone, chooseService, n.gateway.dataCentre, map[string]bool{n.avoid: true})
+	if m == nil {
+		return done{refusal.New(n.ran, refusal.NoUpstream, noUpstreamRetry, "no decode engine in %s", n.pool.Name)}
+	}
+	m.Begin(0)
+	defer m.End(0)
+	n.record.Upstream = m.ID
+	return n.decode(ctx, m, DecodeTerms{After: n.after()}, time.Now())
+}
--- /dev/null
+++ b/router/gateway/relay.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/eventstream"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// silenceFactor times the longest good gap is how long a resumable stream may be silent
+	// before another engine goes on with it: callers give up after some eight gaps.
+	silenceFactor = 3
+)
+
+var (
+	errSilent  = eris.New("the stream went silent")
+	errGap     = eris.New("the stream skipped an event")
+	errCaller  = eris.New("the caller left")
+	errRefused = eris.New("the engine failed")
+)
+
+type (
+	// relay passes the events of one answer on, from one engine or several.
+	relay struct {
+		work  *work
+		began bool
+		// lastID is the id of the last event that was passed on.
+		lastID  int64
+		hasLast bool
+		first   time.Time
+	}
+)
+
+func newRelay(w *work) relay {
+	r := relay{work: w}
+	if id, err := strconv.ParseInt(w.request.After, 10, 64); err == nil {
+		r.lastID, r.hasLast = id, true
+	}
+	return r
+}
+
+func (r *relay) last() string {
+	if !r.hasLast {
+		return r.work.request.After
+	}
+	return strconv.FormatInt(r.lastID, 10)
+}
+
+// answer passes an engine's answer on and decides what follows when it breaks off.
+func (n *generation) answer(ctx context.Context, m *upstream.Member, a Answer, granted time.Time) verdict {
+	if a.Status != http.StatusOK {
+		return n.engineFailure(ctx, m, a)
+	}
+	before := n.record.Events
+	began := time.Now()
+	err := n.relay.pass(ctx, a, n.silence())
+	if events := n.record.Events - before; events > 0 {
+		n.shared.pace.started(n.relay.first.Sub(granted))
+		if engine := n.pool.Engine; engine != nil {
+			n.shared.pace.generated(events*engine.EventTokens, time.Since(began))
+		}
+	}
+	switch {
+	case err == nil:
+		m.Succeeded(time.Since(began))
+		return done{}
+	case errors.Is(err, errCaller):
+		return done{refusal.New(refusal.RanYes, refusal.Cancelled, 0, "%v", err)}
+	}
+	return n.lost(ctx, m, err)
+}
+
+// engineFailure passes an engine's own failure on, as it tells that the request ran.
+func (n *generation) engineFailure(ctx context.Context, m *upstream.Member, a Answer) verdict {
+	if n.relay.began {
+		return n.lost(ctx, m, eris.Wrapf(errRefused, "status %d", a.Status))
+	}
+	body, result := readWhole(a)
+	if u, broken := result.(Unknown); broken {
+		return n.lost(ctx, m, u.Err)
+	}
+	return done{n.deliver(callResult{member: m, body: body}, a)}
+}
+
+// silence is how long the answer may pause; zero: as long as the caller waits.
+func (n *generation) silence() time.Duration {
+	kind, ok := n.route.Kind.(ingress.Streaming)
+	if !ok || !kind.Resumable || n.runs >= n.route.MaxAttempts {
+		return 0
+	}
+	return max(silenceFactor*kind.MaxGap, n.route.Target)
+}
+
+// pass passes whole events on until the stream ends. A silent stream is an error when silence is set.
+func (r *relay) pass(ctx context.Context, a Answer, silence time.Duration) error {
+	if !r.began {
+		r.began = true
+		r.work.record.Status = a.Status
+		r.work.reply.Begin(a.Status, a.Header, -1)
+	}
+	var watchdog *time.Timer
+	silent := make(chan struct{})
+	if silence > 0 {
+		watchdog = time.AfterFunc(silence, func() {
+			close(silent)
+			a.Body.Release()
+		})
+		defer watchdog.Stop()
+	}
+	events := eventstream.NewReader(a.Body)
+	for {
+		e, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			select {
+			case <-silent:
+				return errSilent
+			default:
+				return err
+			}
+		}
+		if watchdog != nil {
+			watchdog.Reset(silence)
+		}
+		if err := r.event(ctx, e); err != nil {
+			return err
+		}
+	}
+}
+
+// event passes one event on, unless the caller has it already.
+func (r *relay) event(ctx context.Context, e eventstream.Event) error {
+	if e.HasID {
+		switch {
+		case r.hasLast && e.ID <= r.lastID:
+			return nil
+		case r.hasLast && e.ID != r.lastID+1:
+			return eris.Wrapf(errGap, "event %d after %d", e.ID, r.lastID)
+		}
+		r.lastID, r.hasLast = e.ID, true
+	}
+	if r.first.IsZero() {
+		r.first = time.Now()
+		r.work.record.First = r.first.Sub(r.work.request.Arrived)
+	}
+	if err := r.work.reply.Write(e.Raw); err != nil || ctx.Err() != nil {
+		return errCaller
+	}
+	r.work.record.Events++
+	return nil
+}
--- /dev/null
+++ b/router/gateway/work.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/upstream"
+)
+
+type (
+	// work is one request on its way.
+	work struct {
+		gateway *Gateway
+		request *Request
+		route   *ingress.Route
+		pool    ingress.Pool
+		shared  *pool
+		reply   Reply
+		record  *Record
+	}
+)
+
+// left is how long the caller still waits.
+func (w *work) left() time.Duration {
+	return time.Until(w.request.end(w.route))
+}
+
+func (w *work) terms() Terms {
+	return Terms{Left: w.left(), Priority: w.route.Priority}
+}
+
+// ended returns the refusal of a request whose context is over: its caller left, or its time is up.
+func (w *work) ended(ctx context.Context, ran refusal.Ran) *refusal.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(ran, refusal.Deadline, 0, "no answer within %v", time.Since(w.request.Arrived).Round(time.Millisecond))
+	}
+	return refusal.New(ran, refusal.Cancelled, 0, "the caller left")
+}
+
+// note keeps the last failure for the record, and tells the directory of an upstream that is
+// another one now or takes no connections.
+func (w *work) note(m *upstream.Member, reason NotRunReason, err error) {
+	w.record.Cause = reason.String()
+	if err != nil {
+		w.record.Cause += ": " + err.Error()
+	}
+	w.gateway.note(m, reason, err)
+}
+
+func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
+	switch reason {
+	case Full:
+	case Replaced:
+		m.Replaced()
+		g.log.Info(event.UpstreamReplaced, "upstream", m.ID, "address", m.Address)
+	case Unreachable:
+		pause := m.Lost(time.Now())
+		g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
+	}
+}
+
+// failed records an upstream that gave no whole answer.
+func (g *Gateway) failed(m *upstream.Member, err error) {
+	if pause, ejected := m.Failed(time.Now()); ejected {
+		g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
+	}
+}
+
+// reserve asks an engine for memory, and keeps what its answer tells of the engine.
+func (g *Gateway) reserve(ctx context.Context, m *upstream.Member, tokens int, life time.Duration) line.Outcome {
+	outcome := g.upstreams.Reserve(ctx, m, tokens, life)
+	if f, failed := outcome.(line.Failed); failed && ctx.Err() == nil {
+		g.note(m, Unreachable, f.Err)
+	}
+	return outcome
+}
--- /dev/null
+++ b/router/line/line.go
@@ -0,0 +1,334 @@
+// Package line orders the generations of one entry that wait for decode memory. It answers bursts:
+// when all decode engines are full, memory goes first to those who can still meet their target.
+package line
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// defaultRecheck is the pause before a full engine is asked again. Engines end streams
+	// every few tens of milliseconds in a burst.
+	defaultRecheck = 40 * time.Millisecond
+	// unreachableRecheck is the pause after an engine that gave no answer.
+	unreachableRecheck = 500 * time.Millisecond
+)
+
+type (
+	// Waiter is a generation that needs decode memory.
+	Waiter struct {
+		// Tokens is the memory to reserve.
+		Tokens  int
+		Arrived time.Time
+		// Due is the latest grant with which the first token is on time.
+		Due time.Time
+		// Patience is when the waiter is refused while others who are on time wait.
+		Patience time.Time
+		// Expires is when the waiter is refused in any case.
+		Expires time.Time
+		// Priority ranks waiters; 0 is the most urgent.
+		Priority int
+		// Resumed generations have a caller who reads already.
+		Resumed bool
+		// Size is the expected length of the generation, in tokens.
+		Size int
+		// Avoid names an upstream that this generation failed at.
+		Avoid string
+	}
+
+	// Grant is reserved memory.
+	Grant struct {
+		Member      *upstream.Member
+		Reservation string
+		// Tried is the number of engines that were asked.
+		Tried int
+	}
+
+	// Outcome is an engine's answer to a reservation.
+	//
+	//sumtype:decl
+	Outcome interface{ outcome() }
+
+	// Reserved tells that the memory is held under an ID.
+	Reserved struct{ ID string }
+
+	// Full tells that the engine has no such memory now.
+	Full struct{}
+
+	// Failed tells that the engine gave no answer, or another incarnation did.
+	Failed struct{ Err error }
+
+	// Reserver asks an engine for memory.
+	Reserver func(ctx context.Context, m *upstream.Member, tokens int) Outcome
+
+	// Releaser gives up memory that nobody needs any more.
+	Releaser func(m *upstream.Member, id string)
+
+	// Line is the line of one pool. It is safe for concurrent use.
+	Line struct {
+		reserve Reserver
+		release Releaser
+		members func() []*upstream.Member
+		recheck time.Duration
+
+		mu      sync.Mutex
+		waiting []*ticket
+		beliefs map[string]*belief
+		timer   *time.Timer
+	}
+
+	// Option changes a line.
+	Option func(*Line)
+
+	ticket struct {
+		Waiter
+		ctx    context.Context
+		trying bool
+		tried  int
+		result chan result
+	}
+
+	result struct {
+		grant   Grant
+		granted bool
+	}
+
+	// belief is what the line knows of one engine's memory.
+	belief struct {
+		trying bool
+		// refused is the smallest request that the engine refused, until retry.
+		refused int
+		retry   time.Time
+	}
+)
+
+func (Reserved) outcome() {}
+func (Full) outcome()     {}
+func (Failed) outcome()   {}
+
+// NewLine returns an empty line. members returns the decode engines that may get work.
+func NewLine(reserve Reserver, release Releaser, members func() []*upstream.Member, opts ...Option) *Line {
+	l := &Line{
+		reserve: reserve,
+		release: release,
+		members: members,
+		recheck: defaultRecheck,
+		beliefs: make(map[string]*belief),
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// WithRecheck sets the pause before a full engine is asked again.
+func WithRecheck(pause time.Duration) Option {
+	return func(l *Line) { l.recheck = pause }
+}
+
+// Wait waits for memory. It returns false when the waiter's time in the line is over or ctx ended.
+func (l *Line) Wait(ctx context.Context, w Waiter) (Grant, bool) {
+	t := &ticket{Waiter: w, ctx: ctx, result: make(chan result, 1)}
+	l.mu.Lock()
+	l.waiting = append(l.waiting, t)
+	l.schedule(time.Now())
+	l.mu.Unlock()
+	select {
+	case r := <-t.result:
+		return r.grant, r.granted
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leave(t)
+	select {
+	case r := <-t.result:
+		if r.granted {
+			l.release(r.grant.Member, r.grant.Reservation)
+		}
+	default:
+	}
+	return Grant{}, false
+}
+
+// Freed tells that memory came free at an engine, so that it is asked again at once.
+func (l *Line) Freed(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, found := l.beliefs[id]; found {
+		b.refused = 0
+	}
+	l.schedule(time.Now())
+}
+
+// Length returns the number of waiters.
+func (l *Line) Length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
+// schedule refuses whose time is over, and starts a try for each waiter that an engine may have
+// room for. The caller holds the lock.
+func (l *Line) schedule(now time.Time) {
+	l.expire(now)
+	if len(l.waiting) == 0 {
+		return
+	}
+	rank(l.waiting, now)
+	members := l.members()
+	l.forget(members)
+	for _, t := range l.waiting {
+		if t.trying {
+			continue
+		}
+		if m := l.choose(t, members, now); m != nil {
+			l.try(t, m)
+		}
+	}
+	l.arm(now)
+}
+
+func (l *Line) expire(now time.Time) {
+	fresh := 0
+	for _, t := range l.waiting {
+		if now.Before(t.Due) {
+			fresh++
+		}
+	}
+	kept := l.waiting[:0]
+	for _, t := range l.waiting {
+		if !t.trying && t.over(now, fresh) {
+			t.result <- result{}
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(l.waiting[len(kept):])
+	l.waiting = kept
+}
+
+// over reports whether the waiter is refused now, beside a number of waiters who are on time.
+func (t *ticket) over(now time.Time, fresh int) bool {
+	return !now.Before(t.Expires) || fresh > 0 && !now.Before(t.Patience)
+}
+
+// choose returns the engine with the least memory in use by this process among those that may
+// have room.
+func (l *Line) choose(t *ticket, members []*upstream.Member, now time.Time) *upstream.Member {
+	var best *upstream.Member
+	least := 0
+	for _, m := range members {
+		b := l.belief(m.ID)
+		if b.trying || m.ID == t.Avoid && len(members) > 1 {
+			continue
+		}
+		if b.refused > 0 && t.Tokens >= b.refused && now.Before(b.retry) {
+			continue
+		}
+		if used := m.Load().Tokens; best == nil || used < least {
+			best, least = m, used
+		}
+	}
+	return best
+}
+
+func (l *Line) belief(id string) *belief {
+	b, found := l.beliefs[id]
+	if !found {
+		b = &belief{}
+		l.beliefs[id] = b
+	}
+	return b
+}
+
+// forget drops what is known of engines that left.
+func (l *Line) forget(members []*upstream.Member) {
+	if len(l.beliefs) <= len(members) {
+		return
+	}
+	present := make(map[string]bool, len(members))
+	for _, m := range members {
+		present[m.ID] = true
+	}
+	for id, b := range l.beliefs {
+		if !present[id] && !b.trying {
+			delete(l.beliefs, id)
+		}
+	}
+}
+
+func (l *Line) try(t *ticket, m *upstream.Member) {
+	t.trying = true
+	t.tried++
+	l.belief(m.ID).trying = true
+	go func() {
+		outcome := l.reserve(t.ctx, m, t.Tokens)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.settle(t, m, outcome, time.Now())
+		l.schedule(time.Now())
+	}()
+}
+
+func (l *Line) settle(t *ticket, m *upstream.Member, outcome Outcome, now time.Time) {
+	t.trying = false
+	b := l.belief(m.ID)
+	b.trying = false
+	switch o := outcome.(type) {
+	case Reserved:
+		b.refused = 0
+		if t.ctx.Err() != nil {
+			l.release(m, o.ID)
+			return
+		}
+		l.leave(t)
+		t.result <- result{grant: Grant{Member: m, Reservation: o.ID, Tried: t.tried}, granted: true}
+	case Full:
+		if b.refused == 0 || t.Tokens < b.refused || !now.Before(b.retry) {
+			b.refused = t.Tokens
+		}
+		b.retry = now.Add(l.recheck)
+	case Failed:
+		if t.ctx.Err() == nil {
+			b.refused, b.retry = 1, now.Add(unreachableRecheck)
+		}
+	}
+}
+
+func (l *Line) leave(t *ticket) {
+	for i, other := range l.waiting {
+		if other == t {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// arm wakes the line when the next engine may be asked again or the next waiter's time is over.
+func (l *Line) arm(now time.Time) {
+	if len(l.waiting) == 0 {
+		return
+	}
+	next := now.Add(l.recheck)
+	for _, b := range l.beliefs {
+		if b.refused > 0 && !b.trying && b.retry.After(now) && b.retry.Before(next) {
+			next = b.retry
+		}
+	}
+	if l.timer == nil {
+		l.timer = time.AfterFunc(next.Sub(now), l.wake)
+		return
+	}
+	l.timer.Reset(next.Sub(now))
+}
+
+func (l *Line) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.schedule(time.Now())
+}
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -19,6 +19,7 @@
 		fraction float64
 		burst    float64
 		earned   float64
+		empty    bool
 	}
 )
 
@@ -28,7 +29,9 @@
 	for _, opt := range opts {
 		opt(b)
 	}
-	b.earned = b.burst
+	if !b.empty {
+		b.earned = b.burst
+	}
 	return b
 }
 
@@ -37,6 +40,18 @@
 	return func(b *Budget) { b.burst = float64(retries) }
 }
 
+// WithEmptyStart lets a budget earn its first retries, so that restarts don't add up.
+func WithEmptyStart() Option {
+	return func(b *Budget) { b.empty = true }
+}
+
+// SetFraction changes how much later first tries earn.
+func (b *Budget) SetFraction(fraction float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fraction = fraction
+}
+
 // Try counts a first try.
 func (b *Budget) Try() {
 	b.mu.Lock()
--- /dev/null
+++ b/router/upstream/directory.go
@@ -0,0 +1,167 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// returnGrace is how long after the source's return an entry that it lost meanwhile is
+	// kept: servers that live publish themselves again within about 2 s.
+	returnGrace = 2 * time.Second
+)
+
+type (
+	// Directory is the set of upstreams that the platform publishes. While the source is
+	// away, the last known upstreams stay. It is safe for concurrent use.
+	Directory struct {
+		mu      sync.RWMutex
+		members map[string]*Member
+		// lapsed holds when members that the source lost in an outage are dropped.
+		lapsed map[string]time.Time
+		away   bool
+		// settled is when entries missing after an outage are gone for good.
+		settled time.Time
+	}
+)
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{members: make(map[string]*Member), lapsed: make(map[string]time.Time)}
+}
+
+// Put takes what an upstream published of itself. It reports whether the upstream is new.
+func (d *Directory) Put(u Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.put(u)
+}
+
+func (d *Directory) put(u Upstream) bool {
+	delete(d.lapsed, u.ID)
+	old, found := d.members[u.ID]
+	switch {
+	case found && u.Started.Before(old.Started) && !u.Started.IsZero():
+		// A late write of an earlier incarnation says nothing of the one that runs.
+		return false
+	case !found || old.Address != u.Address || old.Started != u.Started:
+		d.members[u.ID] = &Member{Upstream: u, History: &History{}}
+		return true
+	case old.Upstream == u:
+		return false
+	}
+	// Facts that requests read without the lock never change in place.
+	d.members[u.ID] = &Member{Upstream: u, History: old.History}
+	return false
+}
+
+// Remove drops an upstream, or keeps it for the grace after an outage of the source. It
+// reports whether the upstream is gone now.
+func (d *Directory) Remove(id string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, found := d.members[id]; !found {
+		return false
+	}
+	if d.away || now.Before(d.settled) {
+		d.lapse(id, now)
+		return false
+	}
+	delete(d.members, id)
+	delete(d.lapsed, id)
+	return true
+}
+
+func (d *Directory) lapse(id string, now time.Time) {
+	if _, found := d.lapsed[id]; found {
+		return
+	}
+	until := d.settled
+	if d.away || until.Before(now) {
+		until = now.Add(returnGrace)
+	}
+	d.lapsed[id] = until
+}
+
+// Replace takes the whole set.
+func (d *Directory) Replace(all []Upstream, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	published := make(map[string]bool, len(all))
+	for _, u := range all {
+		published[u.ID] = true
+		d.put(u)
+	}
+	for id := range d.members {
+		switch {
+		case published[id]:
+		case now.Before(d.settled):
+			d.lapse(id, now)
+		default:
+			delete(d.members, id)
+			delete(d.lapsed, id)
+		}
+	}
+}
+
+// Away records that the source can't be read.
+func (d *Directory) Away() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = true
+}
+
+// Returned records that the source can be read again. Call it before Replace.
+func (d *Directory) Returned(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.away {
+		return
+	}
+	d.away = false
+	d.settled = now.Add(returnGrace)
+}
+
+// Sweep drops the members whose grace is over.
+func (d *Directory) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, until := range d.lapsed {
+		if !d.away && !now.Before(until) {
+			delete(d.members, id)
+			delete(d.lapsed, id)
+		}
+	}
+}
+
+// Ready returns the members of a pool and phase that may get new work, ordered by ID. When all of
+// them are ejected it returns them nevertheless: a refused try costs less than no try.
+func (d *Directory) Ready(pool string, phase Phase, now time.Time) []*Member {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var ready, ejected []*Member
+	for _, m := range d.members {
+		if m.Pool != pool || m.Phase != phase || m.Draining {
+			continue
+		}
+		if m.usable(now) {
+			ready = append(ready, m)
+		} else if !m.isGone() {
+			ejected = append(ejected, m)
+		}
+	}
+	if len(ready) == 0 {
+		ready = ejected
+	}
+	slices.SortFunc(ready, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return ready
+}
+
+// Size returns the number of members.
+func (d *Directory) Size() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.members)
+}
