Test the platform's adapter and what it drives, and bound what a burst costs

Waiters go by size among those on time, hopeless newcomers are refused at once, returning requests are measured from their first try.

--- /dev/null
+++ b/router/eventstream/eventstream_test.go
@@ -0,0 +1,88 @@
+package eventstream_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/eventstream"
+)
+
+func ExampleReader_Next() {
+	r := eventstream.NewReader(strings.NewReader("id: 1\ndata: quilt\n\nid: 2\ndata: air\n\n"))
+	for {
+		e, err := r.Next()
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Printf("%d %q\n", e.ID, e.Raw)
+	}
+	// Output:
+	// 1 "id: 1\ndata: quilt\n\n"
+	// 2 "id: 2\ndata: air\n\n"
+	// EOF
+}
+
+func TestNext(t *testing.T) {
+	tests := map[string]struct {
+		stream string
+		ids    []int64
+		err    error
+	}{
+		"empty":                {"", nil, io.EOF},
+		"no id":                {"data: x\n\n", []int64{-1}, io.EOF},
+		"no number":            {"id: x\ndata: x\n\n", []int64{-1}, io.EOF},
+		"carriage returns":     {"id: 4\r\ndata: x\r\n\r\n", []int64{4}, io.EOF},
+		"several lines":        {"id: 4\ndata: a\ndata: b\nweight: 2\n\n", []int64{4}, io.EOF},
+		"torn in a line":       {"id: 4\n\nid: 5\nda", []int64{4}, eventstream.ErrTorn},
+		"torn after a line":    {"id: 4\n\nid: 5\n", []int64{4}, eventstream.ErrTorn},
+		"longer than a buffer": {"id: 4\ndata: " + strings.Repeat("x", 10_000) + "\n\n", []int64{4}, io.EOF},
+		"too long":             {"data: " + strings.Repeat("x", 300_000), nil, eventstream.ErrTooLong},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := eventstream.NewReader(iotest.OneByteReader(strings.NewReader(tt.stream)))
+			var ids []int64
+			for {
+				e, err := r.Next()
+				if err != nil {
+					is.True(errors.Is(err, tt.err))
+					break
+				}
+				if !e.HasID {
+					e.ID = -1
+				}
+				ids = append(ids, e.ID)
+			}
+			is.Equal(ids, tt.ids)
+		})
+	}
+}
+
+// Whatever an upstream sends, the events that are read are a prefix of it.
+func FuzzNext(f *testing.F) {
+	for _, seed := range []string{"", "id: 1\ndata: x\n\n", "id:\n\n\n", "data: \x00\r\n\r\n", "id: 99999999999999999999\n\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := eventstream.NewReader(strings.NewReader(string(stream)))
+		var read []byte
+		for {
+			e, err := r.Next()
+			if err != nil {
+				break
+			}
+			read = append(read, e.Raw...)
+		}
+		if !strings.HasPrefix(string(stream), string(read)) {
+			t.Fatalf("read %q from %q", read, stream)
+		}
+	})
+}
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -40,6 +40,9 @@
 // upstream said that it did not run it. What may be repeated is sent to a second upstream beside
 // the first when that one is slow: it answers upstreams that hang while their health is good.
 func (w *work) call(ctx context.Context) *refusal.Refusal {
+	if refused := w.gateway.refuseLeaving(w.left(), false); refused != nil {
+		return refused
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	repeatable := ingress.Repeatable(w.route.Kind)
@@ -109,7 +112,7 @@
 
 // send starts a send to another upstream and reports whether there is one.
 func (w *work) send(ctx context.Context, tried map[string]bool, results chan<- callResult) bool {
-	m := w.gateway.pick(w.pool.Name, upstream.PhaseNone, chooseService, w.gateway.dataCentre, tried)
+	m := w.gateway.pick(chooseService, w.gateway.services(w.pool.Name), w.gateway.dataCentre, tried)
 	if m == nil {
 		return false
 	}
--- a/router/gateway/choose.go
+++ b/router/gateway/choose.go
@@ -16,6 +16,11 @@
 	remoteTokens = 1000
 )
 
+type (
+	// chooser chooses among members; near names a data centre.
+	chooser func(members []*upstream.Member, near string, tried map[string]bool, random *rand.Rand) *upstream.Member
+)
+
 // chooseService returns the member with the fewest requests of this process in flight,
 // near ones first, or nil. It answers uneven speeds and servers that hang.
 func chooseService(members []*upstream.Member, dataCentre string, tried map[string]bool, random *rand.Rand) *upstream.Member {
@@ -62,9 +67,17 @@
 }
 
 // pick runs a choice under the lock of the random source.
-func (g *Gateway) pick(pool string, phase upstream.Phase, choice func([]*upstream.Member, string, map[string]bool, *rand.Rand) *upstream.Member, near string, tried map[string]bool) *upstream.Member {
-	members := g.directory.Ready(pool, phase, time.Now())
+func (g *Gateway) pick(choice chooser, members []*upstream.Member, near string, tried map[string]bool) *upstream.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return choice(members, near, tried, g.random)
 }
+
+// services returns the members of a plain service. When all are ejected it returns them
+// nevertheless: a refused try costs less than no try.
+func (g *Gateway) services(pool string) []*upstream.Member {
+	if ready := g.directory.Ready(pool, upstream.PhaseNone, time.Now()); len(ready) > 0 {
+		return ready
+	}
+	return g.directory.Published(pool, upstream.PhaseNone)
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -43,7 +43,15 @@
 		mu      sync.Mutex
 		random  *rand.Rand
 		pools   map[string]*pool
-		leaving time.Time
+		leaving leave
+	}
+
+	// leave is a planned stop.
+	leave struct {
+		// end is when the process stops; zero: it does not.
+		end time.Time
+		// last is when the last generation is taken, as its length is only a guess.
+		last time.Time
 	}
 
 	// Option changes a gateway.
@@ -54,6 +62,8 @@
 		budget *retry.Budget
 		line   *line.Line
 		pace   *pace
+		// returns are refused generations that may come back.
+		returns returns
 	}
 )
 
@@ -110,12 +120,12 @@
 	}
 }
 
-// Leave begins a planned stop that ends by the given time. Requests that would outlast it are
-// refused, as another entry can serve them.
-func (g *Gateway) Leave(end time.Time) {
+// Leave begins a planned stop that ends by the given time. Requests that would outlast it, and
+// generations that come after last, are refused, as another entry can serve them.
+func (g *Gateway) Leave(last, end time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving = end
+	g.leaving = leave{end: end, last: last}
 }
 
 // Serve answers a request through the reply. A refusal tells what remains to be told the caller;
@@ -181,9 +191,16 @@
 	return s
 }
 
-// outlasts reports whether work of the given length would outlast a planned stop.
-func (g *Gateway) outlasts(length time.Duration) bool {
+// refuseLeaving refuses a request that a planned stop would cut. A guess may be wrong, which is
+// why it is not enough for a request that comes late.
+func (g *Gateway) refuseLeaving(length time.Duration, guess bool) *refusal.Refusal {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.leaving.IsZero() && time.Now().Add(length).After(g.leaving)
+	l := g.leaving
+	g.mu.Unlock()
+	now := time.Now()
+	cut := now.Add(length).After(l.end) || guess && now.After(l.last)
+	if l.end.IsZero() || !cut {
+		return nil
+	}
+	return refusal.New(refusal.RanNo, refusal.Leaving, leavingRetry, "the entry stops before the answer would end")
 }
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -41,6 +41,9 @@
 		avoid string
 		// ran is the strongest claim on what ran.
 		ran refusal.Ran
+		// fingerprint and began tell the request's first try.
+		fingerprint uint64
+		began       time.Time
 		// runs counts the decode engines that may have run the request.
 		runs     int
 		resuming bool
@@ -68,6 +71,17 @@
 	if refused := n.unservable(); refused != nil {
 		return refused
 	}
+	n.fingerprint = n.request.fingerprint()
+	n.began = n.shared.returns.began(n.fingerprint, n.request.Arrived)
+	n.record.Spent = n.request.Arrived.Sub(n.began)
+	refused := n.rounds(ctx)
+	if refused != nil && refused.Ran == refusal.RanNo && refused.RetryAfter > 0 {
+		n.shared.returns.refused(n.fingerprint, n.began, time.Now())
+	}
+	return refused
+}
+
+func (n *generation) rounds(ctx context.Context) *refusal.Refusal {
 	for range maxRounds {
 		switch v := n.round(ctx).(type) {
 		case done:
@@ -86,8 +100,8 @@
 	if n.request.Generation == nil {
 		n.request.Generation = &Generation{}
 	}
-	if n.gateway.outlasts(n.expected()) {
-		return refusal.New(refusal.RanNo, refusal.Leaving, leavingRetry, "the entry stops before the answer would end")
+	if refused := n.gateway.refuseLeaving(n.expected(), true); refused != nil {
+		return refused
 	}
 	engine := n.pool.Engine
 	if engine != nil && engine.KVTokens > 0 && n.request.Generation.PromptTokens > engine.KVTokens {
@@ -96,9 +110,10 @@
 	return nil
 }
 
-// expected is how long the generation is likely to take.
+// expected is how long the generation is likely to take at most.
 func (n *generation) expected() time.Duration {
-	return n.shared.pace.Startup() + n.shared.pace.Length(n.request.Generation.output())
+	g := n.request.Generation
+	return n.shared.pace.Startup() + n.shared.pace.Length(g.memory()-g.PromptTokens)
 }
 
 // output is the expected number of output tokens.
@@ -124,8 +139,7 @@
 // round takes the generation from the line to the end of one decode.
 func (n *generation) round(ctx context.Context) verdict {
 	granted := time.Now()
-	members := n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, granted)
-	if len(members) == 0 {
+	if len(n.gateway.directory.Published(n.pool.Name, upstream.PhaseDecode)) == 0 {
 		return n.direct(ctx)
 	}
 	grant, ok := n.shared.line.Wait(ctx, n.waiter(granted))
@@ -168,7 +182,7 @@
 	w := line.Waiter{
 		Tokens:   n.record.Tokens,
 		Arrived:  r.Arrived,
-		Due:      r.Arrived.Add(target - n.shared.pace.Startup()),
+		Due:      n.began.Add(target - n.shared.pace.Startup()),
 		Patience: r.Arrived.Add(time.Duration(patienceFactor * float64(target))),
 		Expires:  r.Arrived.Add(time.Duration(expiryFactor * float64(target))),
 		Priority: n.route.Priority,
@@ -208,13 +222,11 @@
 	defer cancel()
 	tried := make(map[string]bool)
 	for try := range maxPrefills {
-		m := n.gateway.pick(n.pool.Name, upstream.PhasePrefill, choosePrefill, grant.Member.DataCentre, tried)
-		if m == nil {
+		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
+		m := n.gateway.pick(choosePrefill, members, grant.Member.DataCentre, tried)
+		if m == nil || try > 0 && !n.shared.budget.Allow() {
 			// Without a prefill engine the decode engine reads the prompt itself.
-			return nil, try == 0
-		}
-		if try > 0 && !n.shared.budget.Allow() {
-			break
+			return nil, true
 		}
 		tried[m.ID] = true
 		cache, ok := n.prefillAt(ctx, m)
@@ -244,6 +256,10 @@
 		if ctx.Err() == nil {
 			n.note(m, r.Reason, r.Err)
 		}
+		if r.Reason == Full || r.Reason == Replaced {
+			// The engine got the request and turned it away, which counts as a retry.
+			n.shared.budget.Spend()
+		}
 	}
 	return "", false
 }
@@ -305,7 +321,7 @@
 
 // direct serves a generation at a pool whose upstreams have no phases.
 func (n *generation) direct(ctx context.Context) verdict {
-	m := n.gateway.pick(n.pool.Name, upstream.PhaseNone, chooseService, n.gateway.dataCentre, map[string]bool{n.avoid: true})
+	m := n.gateway.pick(chooseService, n.gateway.services(n.pool.Name), n.gateway.dataCentre, map[string]bool{n.avoid: true})
 	if m == nil {
 		return done{refusal.New(n.ran, refusal.NoUpstream, noUpstreamRetry, "no decode engine in %s", n.pool.Name)}
 	}
--- /dev/null
+++ b/router/gateway/generate_test.go
@@ -0,0 +1,180 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/line"
+)
+
+// engines makes both decode engines do the same.
+func engines(steps ...step) map[string][]step {
+	return map[string][]step{"g1": steps, "g2": steps}
+}
+
+func sequence(from, to int) []int {
+	var ids []int
+	for id := from; id <= to; id++ {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// received lists the ids of the events that a caller got.
+func received(a *reply) string {
+	var ids []string
+	for l := range strings.Lines(a.String()) {
+		if id, found := strings.CutPrefix(l, "id: "); found {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+func TestGenerate(t *testing.T) {
+	const pause = 5 * time.Millisecond
+	whole := step{events: sequence(1, 4), pause: pause}
+	torn := step{events: sequence(1, 2), pause: pause, err: errBroken}
+	rest := step{events: sequence(3, 4), pause: pause}
+	tests := map[string]struct {
+		resumable bool
+		steps     map[string][]step
+		prefills  map[string][]gateway.PrefillResult
+		want      string
+		events    string
+	}{
+		"whole":                     {false, engines(whole), nil, "answered", "1 2 3 4"},
+		"breaks, not resumable":     {false, engines(torn), nil, "upstream_lost/yes", "1 2"},
+		"breaks, goes on":           {true, engines(torn, rest), nil, "answered", "1 2 3 4"},
+		"breaks, repeats an event":  {true, engines(torn, step{events: sequence(2, 4), pause: pause}), nil, "answered", "1 2 3 4"},
+		"breaks, skips an event":    {true, engines(torn, step{events: []int{4}, pause: pause}), nil, "upstream_lost/yes", "1 2"},
+		"breaks twice":              {true, engines(torn), nil, "upstream_lost/yes", "1 2"},
+		"lost before the first":     {false, engines(step{result: gateway.Unknown{Err: errBroken}}), nil, "upstream_lost/unknown", ""},
+		"lost, may run again":       {true, engines(step{result: gateway.Unknown{Err: errBroken}}, whole), nil, "answered", "1 2 3 4"},
+		"cache lapsed, read again":  {false, engines(step{result: gateway.NotRun{Reason: gateway.Full}}, whole), nil, "answered", "1 2 3 4"},
+		"engine's own failure":      {false, engines(step{status: 500, body: "sorry"}), nil, "answered", ""},
+		"prefill lost, then read":   {false, engines(whole), prefills(gateway.PrefillFailed{Err: errBroken}), "answered", "1 2 3 4"},
+		"prefill turned away twice": {false, engines(whole), prefills(gateway.PrefillFailed{Reason: gateway.Full}), "answered", "1 2 3 4"},
+		"silent, goes on":           {true, engines(step{events: []int{1, 2}, pause: time.Hour}, whole), nil, "answered", "1 2 3 4"},
+		"silent head, goes on":      {true, engines(step{after: time.Hour, events: []int{1}}, whole), nil, "answered", "1 2 3 4"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fake{}
+				g := world(t, f, ingress.Streaming{Resumable: tt.resumable, MaxGap: 50 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+				earn(t, g, 10)
+				f.prefills = tt.prefills
+				f.reset(shared(tt.steps))
+				a := &reply{}
+				is.Equal(outcome(g.Serve(t.Context(), request(), a)), tt.want)
+				is.Equal(received(a), tt.events)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func prefills(first gateway.PrefillResult) map[string][]gateway.PrefillResult {
+	return map[string][]gateway.PrefillResult{"p1": {first}, "p2": {first}}
+}
+
+// shared keeps a scenario's second step for the engine that is asked second, whichever it is: the
+// first engine to be asked plays the first step, the other one goes on with the second.
+func shared(steps map[string][]step) map[string][]step {
+	if len(steps["g1"]) < 2 {
+		return steps
+	}
+	return map[string][]step{"g1": {steps["g1"][0], steps["g1"][1]}, "g2": {steps["g1"][1]}}
+}
+
+// What waits in vain was never sent, so its refusal says so and tells when to come back.
+func TestNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{reserve: func(string, int) line.Outcome { return line.Full{} }}
+		g := world(t, f, ingress.Streaming{})
+		began := time.Now()
+		refused := g.Serve(t.Context(), request(), &reply{})
+		is.Equal(outcome(refused), "overloaded/no")
+		is.True(refused.RetryAfter > 0)
+		is.Equal(time.Since(began), 2250*time.Millisecond)
+		is.Equal(len(f.sends()), 0)
+	})
+}
+
+// A reservation covers the prompt and the likely output, not the longest one.
+func TestReservationFollowsTheHint(t *testing.T) {
+	tests := map[string]struct {
+		generation gateway.Generation
+		want       int
+	}{
+		"hint":             {gateway.Generation{PromptTokens: 1000, MaxOutputTokens: 2000, LengthHint: 100}, 1230},
+		"long hint":        {gateway.Generation{PromptTokens: 1000, MaxOutputTokens: 200, LengthHint: 500}, 1200},
+		"no hint":          {gateway.Generation{PromptTokens: 1000, MaxOutputTokens: 200}, 1200},
+		"more than memory": {gateway.Generation{PromptTokens: 39_000, MaxOutputTokens: 20_000}, 40_000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := 0
+			f := &fake{reserve: func(id string, tokens int) line.Outcome {
+				got = tokens
+				return line.Reserved{ID: id}
+			}}
+			g := world(t, f, ingress.Streaming{})
+			r := request()
+			r.Generation = &tt.generation
+			g.Serve(t.Context(), r, &reply{})
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func TestPromptBeyondMemoryIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	g := world(t, f, ingress.Streaming{})
+	r := request()
+	r.Generation.PromptTokens = 40_001
+	is.Equal(outcome(g.Serve(t.Context(), r, &reply{})), "malformed/no")
+	is.Equal(len(f.sends()), 0)
+}
+
+// A cache and a reservation that no decode takes go back to their engines.
+func TestNothingIsHeldForARefusedDecode(t *testing.T) {
+	is := is.New(t)
+	f := &fake{steps: engines(step{result: gateway.NotRun{Reason: gateway.Full}})}
+	g := world(t, f, ingress.Streaming{}, gateway.WithRetryRatio(0))
+	is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "upstream_lost/no")
+	is.Equal(len(f.freed), 2)
+}
+
+// Who comes back after a refusal waits behind those who can still be on time.
+func TestReturningRequestIsMeasuredFromItsFirstTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		full := true
+		f := &fake{reserve: func(id string, _ int) line.Outcome {
+			if full {
+				return line.Full{}
+			}
+			return line.Reserved{ID: id}
+		}}
+		var spent []time.Duration
+		g := world(t, f, ingress.Streaming{}, gateway.WithObserver(func(r gateway.Record) { spent = append(spent, r.Spent) }))
+		refused := g.Serve(t.Context(), request(), &reply{})
+		is.Equal(outcome(refused), "overloaded/no")
+		time.Sleep(refused.RetryAfter)
+		full = false
+		is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "answered")
+		is.Equal(spent, []time.Duration{0, 2250*time.Millisecond + refused.RetryAfter})
+	})
+}
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -30,10 +30,14 @@
 		// Sends counts what was sent to upstreams, Reserves the engines asked for memory.
 		Sends    int
 		Reserves int
+		// Spent is how long ago the first try of a refused request arrived; zero: this is the first.
+		Spent time.Duration
 		// Tokens is the memory that was reserved.
 		Tokens int
 		// Events of a stream that were passed on.
 		Events int
+		// MaxGap is the longest pause between events.
+		MaxGap time.Duration
 		// Resumed counts the upstreams that a stream went on at.
 		Resumed int
 		// Cause is the last failure of an upstream.
@@ -57,7 +61,7 @@
 	fields := []any{
 		"request", r.Request.ID, "route", r.RouteName(), "pool", r.Pool, "version", r.Version,
 		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends,
-		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events, "resumed", r.Resumed,
+		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events, "max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumed, "spent_ms", r.Spent.Milliseconds(),
 		"waited_ms", r.Waited.Milliseconds(), "first_ms", r.First.Milliseconds(), "took_ms", r.Took.Milliseconds(),
 	}
 	if r.Cause != "" {
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -38,6 +38,8 @@
 		lastID  int64
 		hasLast bool
 		first   time.Time
+		// latest is when the last event was passed on.
+		latest time.Time
 	}
 )
 
@@ -151,10 +153,13 @@
 		}
 		r.lastID, r.hasLast = e.ID, true
 	}
+	now := time.Now()
 	if r.first.IsZero() {
-		r.first = time.Now()
+		r.first, r.latest = now, now
 		r.work.record.First = r.first.Sub(r.work.request.Arrived)
 	}
+	r.work.record.MaxGap = max(r.work.record.MaxGap, now.Sub(r.latest))
+	r.latest = now
 	if err := r.work.reply.Write(e.Raw); err != nil || ctx.Err() != nil {
 		return errCaller
 	}
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -33,7 +33,9 @@
 
 	// Generation is what a caller says of a request to a model.
 	Generation struct {
-		Model           string
+		Model string
+		// Content names the prompt's parts; tries of one request have the same.
+		Content         string
 		PromptTokens    int
 		MaxOutputTokens int
 		// LengthHint is the caller's estimate of the output, in tokens; zero: none.
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -55,6 +55,7 @@
 func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
 	switch reason {
 	case Full:
+		m.TurnedAway(time.Now())
 	case Replaced:
 		m.Replaced()
 		g.log.Info(event.UpstreamReplaced, "upstream", m.ID, "address", m.Address)
--- /dev/null
+++ b/router/line/drain.go
@@ -0,0 +1,55 @@
+package line
+
+import "time"
+
+const (
+	// drainShare is the share of a new interval in the smoothed one: it follows a change of
+	// load within some ten grants.
+	drainShare = 0.1
+)
+
+type (
+	// drain follows how fast a line with waiters gets memory.
+	drain struct {
+		// interval is the smoothed time between grants while somebody waits; zero: unknown.
+		interval time.Duration
+		last     time.Time
+		// busy tells that somebody waited after the last grant.
+		busy bool
+	}
+)
+
+// granted records a grant, after which others wait or not.
+func (d *drain) granted(now time.Time, waiting bool) {
+	if d.busy {
+		took := now.Sub(d.last)
+		if d.interval == 0 {
+			d.interval = took
+		}
+		d.interval += time.Duration(drainShare * float64(took-d.interval))
+	}
+	d.last, d.busy = now, waiting
+}
+
+// hopeless reports whether a newcomer, who could still be on time, is not going to be: it answers
+// bursts, in which an early refusal lets the caller come back when there is room. The caller
+// holds the lock.
+func (l *Line) hopeless(t *ticket, now time.Time) bool {
+	if t.trying || t.Resumed || t.class(now) != onTime {
+		return false
+	}
+	select {
+	case r := <-t.result:
+		t.result <- r
+		return false
+	default:
+	}
+	ahead := 0
+	for _, other := range l.waiting {
+		if other == t {
+			break
+		}
+		ahead++
+	}
+	return now.Add(time.Duration(ahead+1) * l.drain.interval).After(t.Due)
+}
--- a/router/line/line.go
+++ b/router/line/line.go
@@ -79,6 +79,7 @@
 		waiting []*ticket
 		beliefs map[string]*belief
 		timer   *time.Timer
+		drain   drain
 	}
 
 	// Option changes a line.
@@ -134,8 +135,14 @@
 func (l *Line) Wait(ctx context.Context, w Waiter) (Grant, bool) {
 	t := &ticket{Waiter: w, ctx: ctx, result: make(chan result, 1)}
 	l.mu.Lock()
+	now := time.Now()
 	l.waiting = append(l.waiting, t)
-	l.schedule(time.Now())
+	l.schedule(now)
+	if l.hopeless(t, now) {
+		l.leave(t)
+		l.mu.Unlock()
+		return Grant{}, false
+	}
 	l.mu.Unlock()
 	select {
 	case r := <-t.result:
@@ -287,6 +294,7 @@
 			return
 		}
 		l.leave(t)
+		l.drain.granted(now, len(l.waiting) > 0)
 		t.result <- result{grant: Grant{Member: m, Reservation: o.ID, Tried: t.tried}, granted: true}
 	case Full:
 		if b.refused == 0 || t.Tokens < b.refused || !now.Before(b.retry) {
@@ -320,6 +328,13 @@
 			next = b.retry
 		}
 	}
+	for _, t := range l.waiting {
+		for _, end := range []time.Time{t.Patience, t.Expires} {
+			if end.After(now) && end.Before(next) {
+				next = end
+			}
+		}
+	}
 	if l.timer == nil {
 		l.timer = time.AfterFunc(next.Sub(now), l.wake)
 		return
--- /dev/null
+++ b/router/line/line_test.go
@@ -0,0 +1,238 @@
+package line_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/upstream"
+)
+
+var (
+	errDark = errors.New("no answer")
+)
+
+type (
+	// engines hold memory as model engines do.
+	engines struct {
+		mu       sync.Mutex
+		free     map[string]int
+		dark     map[string]bool
+		asked    map[string]int
+		released []string
+		members  []*upstream.Member
+	}
+)
+
+func newEngines(free map[string]int) *engines {
+	e := &engines{free: free, dark: map[string]bool{}, asked: map[string]int{}}
+	d := upstream.NewDirectory()
+	for id := range free {
+		d.Put(upstream.Upstream{ID: id, Pool: "chat", Phase: upstream.PhaseDecode})
+	}
+	e.members = d.Published("chat", upstream.PhaseDecode)
+	return e
+}
+
+func (e *engines) reserve(ctx context.Context, m *upstream.Member, tokens int) line.Outcome {
+	select {
+	case <-ctx.Done():
+		return line.Failed{Err: ctx.Err()}
+	case <-time.After(time.Millisecond):
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked[m.ID]++
+	switch {
+	case e.dark[m.ID]:
+		return line.Failed{Err: errDark}
+	case e.free[m.ID] < tokens:
+		return line.Full{}
+	}
+	e.free[m.ID] -= tokens
+	return line.Reserved{ID: m.ID + "-hold"}
+}
+
+func (e *engines) give(id string, tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.free[id] += tokens
+}
+
+func (e *engines) line() *line.Line {
+	release := func(_ *upstream.Member, id string) { e.released = append(e.released, id) }
+	return line.NewLine(e.reserve, release, func() []*upstream.Member { return e.members })
+}
+
+func waiter(tokens int) line.Waiter {
+	now := time.Now()
+	return line.Waiter{
+		Tokens: tokens, Arrived: now, Due: now.Add(600 * time.Millisecond),
+		Patience: now.Add(1200 * time.Millisecond), Expires: now.Add(2 * time.Second),
+	}
+}
+
+func TestGrantsAtOnceWhereThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 100, "b": 5000})
+		began := time.Now()
+		grant, ok := e.line().Wait(t.Context(), waiter(4000))
+		is.True(ok)
+		is.Equal(grant.Member.ID, "b")
+		is.True(time.Since(began) <= 2*time.Millisecond)
+	})
+}
+
+func TestWaitsUntilMemoryComesFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 0})
+		l := e.line()
+		time.AfterFunc(300*time.Millisecond, func() {
+			e.give("a", 4000)
+			l.Freed("a")
+		})
+		began := time.Now()
+		_, ok := l.Wait(t.Context(), waiter(4000))
+		is.True(ok)
+		is.True(time.Since(began) < 310*time.Millisecond)
+		is.True(e.asked["a"] < 12) // a full engine is asked again after a pause only
+	})
+}
+
+func TestRefusesWhenTheTimeIsOver(t *testing.T) {
+	tests := map[string]struct {
+		others int
+		want   time.Duration
+	}{
+		"alone":                {0, 2 * time.Second},
+		"while others are due": {1, 1200 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := newEngines(map[string]int{"a": 0}).line()
+				for i := range tt.others {
+					go func() {
+						time.Sleep(time.Second)
+						l.Wait(t.Context(), waiter(1000+i))
+					}()
+				}
+				began := time.Now()
+				_, ok := l.Wait(t.Context(), waiter(4000))
+				is.True(!ok)
+				is.Equal(time.Since(began).Round(50*time.Millisecond), tt.want)
+				synctest.Wait()
+				time.Sleep(3 * time.Second)
+				is.Equal(l.Length(), 0)
+			})
+		})
+	}
+}
+
+// In a burst, memory goes to who can still be on time, before who is late already.
+func TestLateWaitersComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 0})
+		l := e.line()
+		var order []string
+		var mu sync.Mutex
+		enter := func(name string, w line.Waiter) {
+			go func() {
+				if _, ok := l.Wait(t.Context(), w); ok {
+					mu.Lock()
+					order = append(order, name)
+					mu.Unlock()
+				}
+			}()
+			synctest.Wait()
+		}
+		late := waiter(1000)
+		late.Due = time.Now()
+		enter("late", late)
+		enter("long", waiter(2000))
+		enter("short", waiter(1000))
+		resumed := waiter(3000)
+		resumed.Resumed = true
+		enter("resumed", resumed)
+		for _, tokens := range []int{3000, 1000, 2000, 1000} {
+			time.Sleep(60 * time.Millisecond)
+			e.give("a", tokens)
+			l.Freed("a")
+			synctest.Wait()
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(order, []string{"resumed", "short", "long", "late"})
+	})
+}
+
+// A newcomer who can't be on time is refused at once, with time to come back.
+func TestHopelessNewcomerIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 0})
+		l := e.line()
+		for range 12 {
+			w := waiter(1000)
+			w.Due = w.Due.Add(time.Minute)
+			w.Expires = w.Expires.Add(time.Minute)
+			go l.Wait(t.Context(), w)
+		}
+		for range 4 {
+			time.Sleep(150 * time.Millisecond)
+			e.give("a", 1000)
+			l.Freed("a")
+		}
+		time.Sleep(10 * time.Millisecond)
+		began := time.Now()
+		_, ok := l.Wait(t.Context(), waiter(9000))
+		is.True(!ok)
+		is.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+func TestDarkEngineIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 9000, "b": 0})
+		e.dark["a"] = true
+		l := e.line()
+		time.AfterFunc(200*time.Millisecond, func() { e.give("b", 4000) })
+		grant, ok := l.Wait(t.Context(), waiter(4000))
+		is.True(ok)
+		is.Equal(grant.Member.ID, "b")
+		is.Equal(e.asked["a"], 1)
+	})
+}
+
+// Memory that was granted to a caller who has left goes back.
+func TestCallerWhoLeavesHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 0})
+		l := e.line()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan bool)
+		go func() {
+			_, ok := l.Wait(ctx, waiter(4000))
+			done <- ok
+		}()
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+		is.True(!<-done)
+		is.Equal(l.Length(), 0)
+		time.Sleep(time.Second)
+		is.Equal(len(e.released), 0)
+	})
+}
--- a/router/line/rank.go
+++ b/router/line/rank.go
@@ -6,6 +6,17 @@
 	"time"
 )
 
+const (
+	resumed class = iota
+	onTime
+	late
+)
+
+type (
+	// class is the first criterion of the order.
+	class int
+)
+
 // rank orders waiters: resumed generations, then those that can still be on time, then the rest;
 // among equals by priority and arrival.
 func rank(waiting []*ticket, now time.Time) {
@@ -13,18 +24,18 @@
 		return cmp.Or(
 			cmp.Compare(a.class(now), b.class(now)),
 			cmp.Compare(a.Priority, b.Priority),
-			a.Arrived.Compare(b.Arrived),
+			cmp.Compare(a.Tokens, b.Tokens),
 		)
 	})
 }
 
-// class is 0 for resumed generations, 1 for those on time and 2 for late ones.
-func (t *ticket) class(now time.Time) int {
+// class returns the waiter's class now.
+func (t *ticket) class(now time.Time) class {
 	switch {
 	case t.Resumed:
-		return 0
+		return resumed
 	case now.Before(t.Due):
-		return 1
+		return onTime
 	}
-	return 2
+	return late
 }
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -59,6 +59,14 @@
 	b.earned = min(b.burst, b.earned+b.fraction)
 }
 
+// Spend takes one retry that was not asked for, such as a try that an upstream turned away. The
+// budget may fall into debt, which later first tries pay off.
+func (b *Budget) Spend() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earned = max(b.earned-1, -b.burst)
+}
+
 // Allow spends one retry, or returns false when none is left.
 func (b *Budget) Allow() bool {
 	b.mu.Lock()
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -136,27 +136,31 @@
 	}
 }
 
-// Ready returns the members of a pool and phase that may get new work, ordered by ID. When all of
-// them are ejected it returns them nevertheless: a refused try costs less than no try.
+// Ready returns the members of a pool and phase that may get new work, ordered by ID.
 func (d *Directory) Ready(pool string, phase Phase, now time.Time) []*Member {
+	return d.filter(func(m *Member) bool { return m.serves(pool, phase) && m.usable(now) })
+}
+
+// Published returns the members of a pool and phase that are not leaving, ejected or not.
+func (d *Directory) Published(pool string, phase Phase) []*Member {
+	return d.filter(func(m *Member) bool { return m.serves(pool, phase) && !m.isGone() })
+}
+
+func (d *Directory) filter(keep func(*Member) bool) []*Member {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	var ready, ejected []*Member
+	var kept []*Member
 	for _, m := range d.members {
-		if m.Pool != pool || m.Phase != phase || m.Draining {
-			continue
+		if keep(m) {
+			kept = append(kept, m)
 		}
-		if m.usable(now) {
-			ready = append(ready, m)
-		} else if !m.isGone() {
-			ejected = append(ejected, m)
-		}
-	}
-	if len(ready) == 0 {
-		ready = ejected
 	}
-	slices.SortFunc(ready, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
-	return ready
+	slices.SortFunc(kept, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return kept
+}
+
+func (m *Member) serves(pool string, phase Phase) bool {
+	return m.Pool == pool && m.Phase == phase && !m.Draining
 }
 
 // Size returns the number of members.
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -12,6 +12,9 @@
 	// doubles with each further ejection. About the time in which a crashed process restarts.
 	ejectBase = 500 * time.Millisecond
 	ejectMax  = 4 * time.Second
+	// fullPause is how long an upstream that turned a request away gets no other: about the
+	// time in which one of its requests ends.
+	fullPause = 60 * time.Millisecond
 	// failuresToEject in a row eject an upstream: two exclude one lost connection.
 	failuresToEject = 2
 
@@ -148,6 +151,15 @@
 	return h.eject(now)
 }
 
+// TurnedAway records that the upstream had no room for a request.
+func (h *History) TurnedAway(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := now.Add(fullPause); until.After(h.until) {
+		h.until = until
+	}
+}
+
 // Replaced records that another incarnation answers at the address. The member gets no more work.
 func (h *History) Replaced() {
 	h.mu.Lock()
--- /dev/null
+++ b/router/upstream/upstream_test.go
@@ -0,0 +1,162 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/upstream"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func server(id string) upstream.Upstream {
+	return upstream.Upstream{ID: id, Pool: "desk", Address: "127.0.0.1:1", Slots: 2, Started: start}
+}
+
+func ids(members []*upstream.Member) []string {
+	var list []string
+	for _, m := range members {
+		list = append(list, m.ID)
+	}
+	return list
+}
+
+func TestReadyLeavesOutWhoGetsNoWork(t *testing.T) {
+	tests := map[string]struct {
+		change func(d *upstream.Directory)
+		want   []string
+	}{
+		"all":         {func(*upstream.Directory) {}, []string{"a", "b"}},
+		"draining":    {func(d *upstream.Directory) { u := server("a"); u.Draining = true; d.Put(u) }, []string{"b"}},
+		"removed":     {func(d *upstream.Directory) { d.Remove("a", start) }, []string{"b"}},
+		"lost":        {func(d *upstream.Directory) { d.Ready("desk", 0, start)[0].Lost(start) }, []string{"b"}},
+		"replaced":    {func(d *upstream.Directory) { d.Ready("desk", 0, start)[0].Replaced() }, []string{"b"}},
+		"one failure": {func(d *upstream.Directory) { d.Ready("desk", 0, start)[0].Failed(start) }, []string{"a", "b"}},
+		"two failures": {func(d *upstream.Directory) {
+			m := d.Ready("desk", 0, start)[0]
+			m.Failed(start)
+			m.Failed(start)
+		}, []string{"b"}},
+		"failures apart": {func(d *upstream.Directory) {
+			m := d.Ready("desk", 0, start)[0]
+			m.Failed(start)
+			m.Succeeded(time.Millisecond)
+			m.Failed(start)
+		}, []string{"a", "b"}},
+		"turned away": {func(d *upstream.Directory) { d.Ready("desk", 0, start)[0].TurnedAway(start) }, []string{"b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := upstream.NewDirectory()
+			d.Replace([]upstream.Upstream{server("a"), server("b")}, start)
+			tt.change(d)
+			is.Equal(ids(d.Ready("desk", upstream.PhaseNone, start.Add(time.Millisecond))), tt.want)
+		})
+	}
+}
+
+func TestEjectionEndsAndGrows(t *testing.T) {
+	is := is.New(t)
+	d := upstream.NewDirectory()
+	d.Put(server("a"))
+	m := d.Ready("desk", 0, start)[0]
+	first := m.Lost(start)
+	now := start.Add(first)
+	is.Equal(len(d.Ready("desk", 0, now.Add(-1))), 0)
+	is.Equal(len(d.Ready("desk", 0, now)), 1)
+	is.Equal(m.Lost(now), 2*first)
+	for range 10 {
+		now = now.Add(time.Minute)
+		is.True(m.Lost(now) <= 4*time.Second)
+	}
+}
+
+// Counts of requests in flight outlive a change of what the upstream publishes.
+func TestChangeKeepsHistory(t *testing.T) {
+	is := is.New(t)
+	d := upstream.NewDirectory()
+	d.Put(server("a"))
+	m := d.Ready("desk", 0, start)[0]
+	m.Begin(100)
+	u := server("a")
+	u.Slots = 9
+	is.True(!d.Put(u))
+	changed := d.Ready("desk", 0, start)[0]
+	is.Equal(changed.Slots, 9)
+	is.Equal(changed.Load(), upstream.Load{Requests: 1, Tokens: 100})
+	m.End(100)
+	is.Equal(changed.Load(), upstream.Load{})
+}
+
+func TestIncarnations(t *testing.T) {
+	tests := map[string]struct {
+		next   upstream.Upstream
+		fresh  bool
+		failed bool
+	}{
+		"the same":            {server("a"), false, true},
+		"a later start":       {with(func(u *upstream.Upstream) { u.Started = start.Add(time.Second) }), true, false},
+		"another address":     {with(func(u *upstream.Upstream) { u.Address = "127.0.0.1:2" }), true, false},
+		"a late earlier one":  {with(func(u *upstream.Upstream) { u.Started = start.Add(-time.Second) }), false, true},
+		"other facts":         {with(func(u *upstream.Upstream) { u.Slots = 3 }), false, true},
+		"a start left unsaid": {with(func(u *upstream.Upstream) { u.Started = time.Time{} }), true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := upstream.NewDirectory()
+			d.Put(server("a"))
+			d.Ready("desk", 0, start)[0].Lost(start)
+			is.Equal(d.Put(tt.next), tt.fresh)
+			is.Equal(len(d.Ready("desk", 0, start)) == 0, tt.failed)
+		})
+	}
+}
+
+func with(change func(*upstream.Upstream)) upstream.Upstream {
+	u := server("a")
+	change(&u)
+	return u
+}
+
+// Entries that lapsed while the source was away get two seconds to come back.
+func TestLapsedEntriesHaveAGrace(t *testing.T) {
+	is := is.New(t)
+	d := upstream.NewDirectory()
+	d.Replace([]upstream.Upstream{server("a"), server("b")}, start)
+	d.Away()
+	back := start.Add(time.Minute)
+	d.Returned(back)
+	d.Replace([]upstream.Upstream{server("b")}, back)
+	is.Equal(ids(d.Published("desk", 0)), []string{"a", "b"})
+	d.Sweep(back.Add(1900 * time.Millisecond))
+	is.Equal(ids(d.Published("desk", 0)), []string{"a", "b"})
+	d.Sweep(back.Add(2 * time.Second))
+	is.Equal(ids(d.Published("desk", 0)), []string{"b"})
+}
+
+func TestReturnedEntryStays(t *testing.T) {
+	is := is.New(t)
+	d := upstream.NewDirectory()
+	d.Put(server("a"))
+	d.Away()
+	d.Returned(start)
+	is.True(!d.Remove("a", start))
+	d.Put(server("a"))
+	d.Sweep(start.Add(time.Hour))
+	is.Equal(d.Size(), 1)
+}
+
+func TestRemovalWithoutAnOutageIsAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := upstream.NewDirectory()
+	d.Put(server("a"))
+	is.True(d.Remove("a", start))
+	is.True(!d.Remove("a", start))
+	is.Equal(d.Size(), 0)
+}
