--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -26,6 +26,8 @@
 	LinesDropped = Event{Number: 6011, Text: "log lines dropped"}
 	// FreeFailed tells that memory could not be given back to an engine; it expires there.
 	FreeFailed = Event{Number: 6013, Text: "freeing memory failed"}
+	// DrainCut tells that a planned stop ended before all requests did.
+	DrainCut = Event{Number: 6014, Text: "drain cut requests"}
 	// ListRead tells that the whole list of upstreams was read anew.
 	ListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -25,6 +25,8 @@
 	maxPrefills = 2
 	// maxRounds bounds the grants that one request may use up.
 	maxRounds = 6
+	// roundArrivals is what one more round sends: a prefill and a decode.
+	roundArrivals = 2
 	// reservationMargin is left of a reservation's life for the decode request's way.
 	reservationMargin = 100 * time.Millisecond
 	// streamRetryFactor times the target is when a caller comes back whose generation found no
@@ -44,6 +46,9 @@
 		// fingerprint and began tell the request's first try.
 		fingerprint uint64
 		began       time.Time
+		// arrivals counts what reached engines, but for the first prefill that one took.
+		arrivals  int
+		prefilled bool
 		// runs counts the decode engines that may have run the request.
 		runs     int
 		resuming bool
@@ -162,9 +167,21 @@
 		n.gateway.upstreams.FreeReservation(grant.Member, grant.Reservation)
 		return prefilled
 	}
+	if n.arrivals > 0 && !n.shared.budget.Covers(1) {
+		n.giveBack(grant.Member, terms)
+		return n.retryOr("no retry is left for a decode")
+	}
 	return n.decode(ctx, grant.Member, terms, granted)
 }
 
+// giveBack frees what was held for a decode that does not run.
+func (n *generation) giveBack(m *upstream.Member, terms DecodeTerms) {
+	if terms.Source != nil {
+		n.gateway.upstreams.FreeCache(terms.Source, terms.Cache)
+	}
+	n.gateway.upstreams.FreeReservation(m, terms.Reservation)
+}
+
 // after is the last event that the caller has.
 func (n *generation) after() string {
 	if n.relay.began {
@@ -224,7 +241,7 @@
 	for try := range maxPrefills {
 		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
 		m := n.gateway.pick(choosePrefill, members, grant.Member.DataCentre, tried)
-		if m == nil || try > 0 && !n.shared.budget.Allow() {
+		if m == nil || try > 0 && !n.shared.budget.Covers(1) {
 			// Without a prefill engine the decode engine reads the prompt itself.
 			return nil, true
 		}
@@ -251,22 +268,33 @@
 	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, n.terms()).(type) {
 	case Prefilled:
 		m.Succeeded(time.Since(began))
+		if n.prefilled {
+			n.arrived()
+		}
+		n.prefilled = true
 		return r.Cache, true
 	case PrefillFailed:
 		if ctx.Err() == nil {
 			n.note(m, r.Reason, r.Err)
 		}
-		if r.Reason == Full || r.Reason == Replaced {
-			// The engine got the request and turned it away, which counts as a retry.
-			n.shared.budget.Spend()
+		if r.Reason != Unreachable {
+			n.arrived()
 		}
 	}
 	return "", false
 }
 
+// arrived counts a request that reached an engine; each but the first is a retry.
+func (n *generation) arrived() {
+	n.arrivals++
+	if n.arrivals > 1 {
+		n.shared.budget.Spend()
+	}
+}
+
 // retryOr starts another round if the retry budget allows.
 func (n *generation) retryOr(why string) verdict {
-	if n.shared.budget.Allow() {
+	if n.shared.budget.Covers(roundArrivals) {
 		return again{}
 	}
 	return done{refusal.New(n.ran, refusal.UpstreamLost, n.retryAfter(), "%s: %s", why, n.record.Cause)}
@@ -279,7 +307,11 @@
 	terms.Terms = n.terms()
 	terms.Patience = n.silence()
 	n.record.Sends++
-	switch r := n.gateway.upstreams.Decode(ctx, m, n.request, terms).(type) {
+	result := n.gateway.upstreams.Decode(ctx, m, n.request, terms)
+	if r, ok := result.(NotRun); !ok || r.Reason != Unreachable {
+		n.arrived()
+	}
+	switch r := result.(type) {
 	case Answer:
 		n.ran = refusal.RanYes
 		n.runs++
@@ -289,10 +321,7 @@
 		if ctx.Err() == nil {
 			n.note(m, r.Reason, r.Err)
 		}
-		if terms.Source != nil {
-			n.gateway.upstreams.FreeCache(terms.Source, terms.Cache)
-		}
-		n.gateway.upstreams.FreeReservation(m, terms.Reservation)
+		n.giveBack(m, terms)
 		return n.retryOr("the decode engine did not take the request")
 	case Unknown:
 		n.ran = max(n.ran, refusal.RanUnknown)
@@ -311,7 +340,7 @@
 	n.gateway.failed(m, err)
 	n.avoid = m.ID
 	kind, _ := n.route.Kind.(ingress.Streaming)
-	if !kind.Resumable || n.runs >= n.route.MaxAttempts || !n.shared.budget.Allow() {
+	if !kind.Resumable || n.runs >= n.route.MaxAttempts || !n.shared.budget.Covers(roundArrivals) {
 		return done{refusal.New(n.ran, refusal.UpstreamLost, 0, "decode engine %s broke off: %v", m.ID, err)}
 	}
 	n.resuming = true
--- a/router/gateway/generate_test.go
+++ b/router/gateway/generate_test.go
@@ -178,3 +178,48 @@
 		is.Equal(spent, []time.Duration{0, 2250*time.Millisecond + refused.RetryAfter})
 	})
 }
+
+// Engines that turn a share of their requests away must not turn retries into a storm: what
+// reaches engines beyond the first arrival of each request stays within the budget.
+func TestArrivalsStayWithinTheBudget(t *testing.T) {
+	const requests, ratio = 400, 0.14
+	tests := map[string]struct {
+		steps    map[string][]step
+		prefills bool
+	}{
+		"decode turned away":  {engines(step{result: gateway.NotRun{Reason: gateway.Full}}), false},
+		"prefill turned away": {nil, true},
+		"streams break":       {engines(step{events: sequence(1, 2), err: errBroken}), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fake{steps: tt.steps}
+				g := world(t, f, ingress.Streaming{Resumable: true}, gateway.WithRetryRatio(ratio))
+				for range requests {
+					if tt.prefills {
+						f.prefills = prefills(gateway.PrefillFailed{Reason: gateway.Full})
+					}
+					g.Serve(t.Context(), request(), &reply{})
+					time.Sleep(100 * time.Millisecond)
+				}
+				prefillsTaken := 0
+				for _, id := range f.sends() {
+					if id == "p1" || id == "p2" {
+						prefillsTaken++
+					}
+				}
+				free := min(prefillsTaken, requests)
+				if tt.prefills {
+					free = 0
+				}
+				extra := len(f.sends()) - free - requests
+				// The budget's saved-up burst comes on top of the ratio, and one round of debt.
+				if limit := int(requests*ratio) + 10 + 2; extra > limit {
+					t.Errorf("%d arrivals beyond the first, allowed %d", extra, limit)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -7,6 +7,8 @@
 
 const (
 	defaultBurst = 10
+	// maxDebt bounds what unasked retries take in advance, in bursts.
+	maxDebt = 10
 )
 
 type (
@@ -64,7 +66,14 @@
 func (b *Budget) Spend() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.earned = max(b.earned-1, -b.burst)
+	b.earned = max(b.earned-1, -maxDebt*b.burst)
+}
+
+// Covers reports whether a number of retries is left, without spending them.
+func (b *Budget) Covers(retries int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.earned >= float64(retries)
 }
 
 // Allow spends one retry, or returns false when none is left.
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -13,8 +13,9 @@
 	ejectBase = 500 * time.Millisecond
 	ejectMax  = 4 * time.Second
 	// fullPause is how long an upstream that turned a request away gets no other: about the
-	// time in which one of its requests ends.
-	fullPause = 60 * time.Millisecond
+	// time in which one of its requests ends. It doubles while the upstream turns all away.
+	fullPause    = 60 * time.Millisecond
+	fullPauseMax = time.Second
 	// failuresToEject in a row eject an upstream: two exclude one lost connection.
 	failuresToEject = 2
 
@@ -61,10 +62,12 @@
 		inFlight int
 		tokens   int
 		failures int
-		ejected  int
-		until    time.Time
-		latency  time.Duration
-		gone     bool
+		// turnedAway counts the requests in a row that found no room.
+		turnedAway int
+		ejected    int
+		until      time.Time
+		latency    time.Duration
+		gone       bool
 	}
 
 	// Load is what this process has in flight at an upstream.
@@ -115,7 +118,7 @@
 func (h *History) Succeeded(latency time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failures, h.ejected = 0, 0
+	h.failures, h.ejected, h.turnedAway = 0, 0, 0
 	if h.latency == 0 {
 		h.latency = latency
 		return
@@ -155,7 +158,9 @@
 func (h *History) TurnedAway(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if until := now.Add(fullPause); until.After(h.until) {
+	pause := min(fullPause<<min(h.turnedAway, 8), fullPauseMax)
+	h.turnedAway++
+	if until := now.Add(pause); until.After(h.until) {
 		h.until = until
 	}
 }
