Refuse earlier who can't be on time any more

Change: the line gives up at 0.8 of the target while others are on time, and at 1.3 in any case; the startup before the first event is planned with a margin; a newcomer's forecast is taken with caution.

--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -17,10 +17,13 @@
 	hintMargin = 100
 	// patienceFactor times the target is how long a request waits for memory while others
 	// who can still be on time wait as well.
-	patienceFactor = 1.33
+	patienceFactor = 0.8
 	// expiryFactor times the target is how long a request waits in any case. Callers give a
 	// stream up after some four times the target without an event.
-	expiryFactor = 2.5
+	expiryFactor = 1.3
+	// startupMargin times the mean startup is left of the target: four in five starts take
+	// no longer.
+	startupMargin = 1.4
 	// maxPrefills bounds the prefill engines that one grant is tried with.
 	maxPrefills = 2
 	// maxRounds bounds the grants that one request may use up.
@@ -199,7 +202,7 @@
 	w := line.Waiter{
 		Tokens:   n.record.Tokens,
 		Arrived:  r.Arrived,
-		Due:      n.began.Add(target - n.shared.pace.Startup()),
+		Due:      n.began.Add(target - time.Duration(startupMargin*float64(n.shared.pace.Startup()))),
 		Patience: r.Arrived.Add(time.Duration(patienceFactor * float64(target))),
 		Expires:  r.Arrived.Add(time.Duration(expiryFactor * float64(target))),
 		Priority: n.route.Priority,
--- a/router/line/drain.go
+++ b/router/line/drain.go
@@ -6,6 +6,9 @@
 	// drainShare is the share of a new interval in the smoothed one: it follows a change of
 	// load within some ten grants.
 	drainShare = 0.1
+	// caution is how much longer than forecast a newcomer's wait is taken to be: other entries
+	// take memory as well.
+	caution = 1.5
 )
 
 type (
@@ -51,5 +54,6 @@
 		}
 		ahead++
 	}
-	return now.Add(time.Duration(ahead+1) * l.drain.interval).After(t.Due)
+	forecast := caution * float64(ahead+1) * float64(l.drain.interval)
+	return now.Add(time.Duration(forecast)).After(t.Due)
 }
