--- a/gooseberryctl/docs_test.go
+++ b/gooseberryctl/docs_test.go
@@ -12,11 +12,11 @@
 
 func TestOperatingExplainsEachReason(t *testing.T) {
 	is := is.New(t)
-	content, err := os.ReadFile("../docs/OPERATING.md")
+	content, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
 	for number, name := range callerv1.Reason_name {
 		if number != 0 && !strings.Contains(string(content), "| `"+name+"` |") {
-			t.Errorf("docs/OPERATING.md lacks %s", name)
+			t.Errorf("docs/OPERATIONS.md lacks %s", name)
 		}
 	}
 }
