--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -211,7 +211,9 @@
 		Avoid:    n.avoid,
 	}
 	if n.resuming {
+		// A caller who reads already is worth waiting for longer than one who may come back.
 		w.Expires = now.Add(time.Duration(expiryFactor * float64(target)))
+		w.Patience = w.Expires
 	}
 	if end := r.end(n.route); w.Expires.After(end) {
 		w.Expires = end
--- a/router/gateway/generate_test.go
+++ b/router/gateway/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,39 @@
 		})
 	}
 }
+
+// A stream that broke off waits for memory beside others who could still be on time.
+func TestResumedStreamIsNotRefusedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{}
+		g := world(t, f, ingress.Streaming{Resumable: true, MaxGap: 300 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+		earn(t, g, 20)
+		f.reset(shared(engines(step{events: sequence(1, 40), pause: 50 * time.Millisecond, err: errBroken},
+			step{events: sequence(41, 42), pause: time.Millisecond})))
+		var mu sync.Mutex
+		full := false
+		f.reserve = func(id string, _ int) line.Outcome {
+			mu.Lock()
+			defer mu.Unlock()
+			if full {
+				return line.Full{}
+			}
+			return line.Reserved{ID: id}
+		}
+		setFull := func(to bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			full = to
+		}
+		time.AfterFunc(1900*time.Millisecond, func() {
+			setFull(true)
+			go g.Serve(t.Context(), request(), &reply{})
+		})
+		time.AfterFunc(2600*time.Millisecond, func() { setFull(false) })
+		a := &reply{}
+		is.Equal(outcome(g.Serve(t.Context(), request(), a)), "answered")
+		is.Equal(len(strings.Fields(received(a))), 42)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// silenceFactor times the longest good gap is how long a resumable stream may be silent
-	// before another engine goes on with it: callers give up after some eight gaps.
-	silenceFactor = 3
+	// silenceFactor times the target is how long a resumable stream may be silent before
+	// another engine goes on with it. An engine that preempts a stream is silent for up to a
+	// second; callers give up after some four times the target.
+	silenceFactor = 2
 )
 
 var (
@@ -100,7 +101,7 @@
 	if !ok || !kind.Resumable || n.runs >= n.route.MaxAttempts {
 		return 0
 	}
-	return max(silenceFactor*kind.MaxGap, n.route.Target)
+	return silenceFactor * max(n.route.Target, kind.MaxGap)
 }
 
 // pass passes whole events on until the stream ends. A silent stream is an error when silence is set.
