--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -41,11 +41,13 @@
 		mu       sync.Mutex
 		steps    map[string][]step
 		prefills map[string][]gateway.PrefillResult
-		reserve  func(id string, tokens int) line.Outcome
-		sent     []string
-		afters   []string
-		freed    []string
-		left     []time.Duration
+		// dark names a prefill engine that never answers.
+		dark    string
+		reserve func(id string, tokens int) line.Outcome
+		sent    []string
+		afters  []string
+		freed   []string
+		left    []time.Duration
 	}
 
 	// body plays the events of a stream in the runtime's time.
@@ -155,7 +157,13 @@
 	return f.play(ctx, s)
 }
 
-func (f *fake) Prefill(_ context.Context, m *upstream.Member, _ *gateway.Request, _ gateway.Terms) gateway.PrefillResult {
+func (f *fake) Prefill(ctx context.Context, m *upstream.Member, _ *gateway.Request, t gateway.Terms) gateway.PrefillResult {
+	if f.dark == m.ID {
+		ctx, cancel := context.WithTimeout(ctx, t.Patience)
+		defer cancel()
+		<-ctx.Done()
+		return gateway.PrefillFailed{Err: errBroken}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent = append(f.sent, m.ID)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -20,6 +20,8 @@
 const (
 	// defaultRetryRatio is the share of requests that may be sent once more.
 	defaultRetryRatio = 0.1
+	// defaultReservationLife covers a prefill where engines state no bound.
+	defaultReservationLife = time.Second
 	// noUpstreamRetry is when a caller comes back to a pool that has no upstream: a restart
 	// takes about that long.
 	noUpstreamRetry = time.Second
@@ -179,10 +181,7 @@
 	members := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
-	life := time.Second
-	if p.Engine != nil && p.Engine.MaxReservation > 0 {
-		life = p.Engine.MaxReservation
-	}
+	life := reservationLife(p)
 	reserve := func(ctx context.Context, m *upstream.Member, tokens int) line.Outcome {
 		return g.reserve(ctx, m, tokens, life)
 	}
@@ -191,6 +190,14 @@
 	return s
 }
 
+// reservationLife is how long a pool's engines hold memory for a decode that is on its way.
+func reservationLife(p ingress.Pool) time.Duration {
+	if p.Engine != nil && p.Engine.MaxReservation > 0 {
+		return p.Engine.MaxReservation
+	}
+	return defaultReservationLife
+}
+
 // refuseLeaving refuses a request that a planned stop would cut. A guess may be wrong, which is
 // why it is not enough for a request that comes late.
 func (g *Gateway) refuseLeaving(length time.Duration, guess bool) *refusal.Refusal {
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -26,6 +26,8 @@
 	startupMargin = 1.4
 	// maxPrefills bounds the prefill engines that one grant is tried with.
 	maxPrefills = 2
+	// prefillStartups times the mean startup is the least patience with a prefill engine.
+	prefillStartups = 3
 	// maxRounds bounds the grants that one request may use up.
 	maxRounds = 6
 	// roundArrivals is what one more round sends: a prefill and a decode.
@@ -113,7 +115,7 @@
 	}
 	engine := n.pool.Engine
 	if engine != nil && engine.KVTokens > 0 && n.request.Generation.PromptTokens > engine.KVTokens {
-		return refusal.New(refusal.RanNo, refusal.Malformed, 0, "the prompt is longer than an engine's memory")
+		return refusal.New(refusal.RanNo, refusal.Overloaded, 0, "the prompt is longer than an engine's memory")
 	}
 	return nil
 }
@@ -124,14 +126,6 @@
 	return n.shared.pace.Startup() + n.shared.pace.Length(g.memory()-g.PromptTokens)
 }
 
-// output is the expected number of output tokens.
-func (g *Generation) output() int {
-	if g.LengthHint > 0 && (g.MaxOutputTokens <= 0 || g.LengthHint < g.MaxOutputTokens) {
-		return g.LengthHint
-	}
-	return g.MaxOutputTokens
-}
-
 // memory is the number of tokens to reserve: the prompt and the likely output.
 func (g *Generation) memory() int {
 	output := g.MaxOutputTokens
@@ -206,7 +200,6 @@
 		Patience: r.Arrived.Add(time.Duration(patienceFactor * float64(target))),
 		Expires:  r.Arrived.Add(time.Duration(expiryFactor * float64(target))),
 		Priority: n.route.Priority,
-		Size:     r.Generation.output(),
 		Resumed:  n.resuming,
 		Avoid:    n.avoid,
 	}
@@ -236,11 +229,7 @@
 
 // prefill gets the prompt's KV cache computed. It returns false with the verdict when there is none.
 func (n *generation) prefill(ctx context.Context, grant line.Grant, terms *DecodeTerms) (verdict, bool) {
-	life := time.Second
-	if n.pool.Engine != nil && n.pool.Engine.MaxReservation > 0 {
-		life = n.pool.Engine.MaxReservation
-	}
-	ctx, cancel := context.WithTimeout(ctx, life-reservationMargin)
+	ctx, cancel := context.WithTimeout(ctx, reservationLife(n.pool)-reservationMargin)
 	defer cancel()
 	tried := make(map[string]bool)
 	for try := range maxPrefills {
@@ -270,7 +259,9 @@
 	n.record.Source = m.ID
 	n.record.Sends++
 	began := time.Now()
-	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, n.terms()).(type) {
+	terms := n.terms()
+	terms.Patience = n.prefillPatience()
+	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, terms).(type) {
 	case Prefilled:
 		m.Succeeded(time.Since(began))
 		if n.prefilled {
@@ -289,6 +280,12 @@
 	return "", false
 }
 
+// prefillPatience is how long a prefill engine may take before another one is tried: an engine that
+// went dark must not cost the whole target, one with a queue must not lose its work.
+func (n *generation) prefillPatience() time.Duration {
+	return max(n.route.Target/2, prefillStartups*n.shared.pace.Startup())
+}
+
 // arrived counts a request that reached an engine; each but the first is a retry.
 func (n *generation) arrived() {
 	n.arrivals++
--- a/router/gateway/generate_test.go
+++ b/router/gateway/generate_test.go
@@ -145,7 +145,7 @@
 	g := world(t, f, ingress.Streaming{})
 	r := request()
 	r.Generation.PromptTokens = 40_001
-	is.Equal(outcome(g.Serve(t.Context(), r, &reply{})), "malformed/no")
+	is.Equal(outcome(g.Serve(t.Context(), r, &reply{})), "overloaded/no")
 	is.Equal(len(f.sends()), 0)
 }
 
@@ -260,3 +260,24 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// A prefill engine that goes dark costs a part of the target, and no further request soon.
+func TestDarkPrefillEngineIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{}
+		g := world(t, f, ingress.Streaming{}, gateway.WithRetryRatio(0.5))
+		earn(t, g, 20)
+		f.dark = "p1"
+		late := 0
+		for range 20 {
+			began := time.Now()
+			is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "answered")
+			if took := time.Since(began); took > 0 {
+				late++
+				is.True(took <= 900*time.Millisecond)
+			}
+		}
+		is.True(late <= 2)
+	})
+}
--- a/router/gateway/port.go
+++ b/router/gateway/port.go
@@ -11,8 +11,10 @@
 )
 
 const (
+	// NoAnswer tells that a prefill was sent and had no whole answer.
+	NoAnswer NotRunReason = iota
 	// Full upstreams have no place or memory for the request.
-	Full NotRunReason = iota + 1
+	Full
 	// Replaced upstreams have another incarnation at their address.
 	Replaced
 	// Unreachable upstreams took no connection.
@@ -42,6 +44,8 @@
 		Left time.Duration
 		// Priority ranks requests at an engine; 0 is the most urgent.
 		Priority int
+		// Patience bounds the time until the head of the answer; zero: as long as the caller waits.
+		Patience time.Duration
 	}
 
 	// DecodeTerms are the terms of a decode.
@@ -55,8 +59,6 @@
 		Cache string
 		// After is the last event that the caller has; empty: none.
 		After string
-		// Patience bounds the time until the head of the answer; zero: as long as the caller waits.
-		Patience time.Duration
 	}
 
 	// Result is an upstream's outcome.
@@ -121,6 +123,8 @@
 // String returns the reason as logs show it.
 func (r NotRunReason) String() string {
 	switch r {
+	case NoAnswer:
+		return "no_answer"
 	case Full:
 		return "full"
 	case Replaced:
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -54,6 +54,8 @@
 
 func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
 	switch reason {
+	case NoAnswer:
+		g.failed(m, err)
 	case Full:
 		m.TurnedAway(time.Now())
 	case Replaced:
--- a/router/line/line.go
+++ b/router/line/line.go
@@ -34,8 +34,6 @@
 		Priority int
 		// Resumed generations have a caller who reads already.
 		Resumed bool
-		// Size is the expected length of the generation, in tokens.
-		Size int
 		// Avoid names an upstream that this generation failed at.
 		Avoid string
 	}
