--- a/router/line/drain.go
+++ b/router/line/drain.go
@@ -34,13 +34,17 @@
 	d.last, d.busy = now, waiting
 }
 
-// hopeless reports whether a newcomer, who could still be on time, is not going to be: it answers
-// bursts, in which an early refusal lets the caller come back when there is room. The caller
-// holds the lock.
+// hopeless reports whether a newcomer is not going to get memory in time: by its target or, when
+// that has passed, before it would be refused anyway. It answers bursts, in which an early refusal
+// lets the caller come back when there is room. The caller holds the lock.
 func (l *Line) hopeless(t *ticket, now time.Time) bool {
-	if t.trying || t.Resumed || t.class(now) != onTime {
+	if t.trying || t.Resumed {
 		return false
 	}
+	limit := t.Due
+	if t.class(now) == late {
+		limit = t.Patience
+	}
 	select {
 	case r := <-t.result:
 		t.result <- r
@@ -55,5 +59,5 @@
 		ahead++
 	}
 	forecast := caution * float64(ahead+1) * float64(l.drain.interval)
-	return now.Add(time.Duration(forecast)).After(t.Due)
+	return now.Add(time.Duration(forecast)).After(limit)
 }
--- a/router/line/line_test.go
+++ b/router/line/line_test.go
@@ -236,3 +236,30 @@
 		is.Equal(len(e.released), 0)
 	})
 }
+
+// A request that comes back late is refused at once as well when there is no room for it soon.
+func TestLateReturnIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 0})
+		l := e.line()
+		for range 20 {
+			w := waiter(1000)
+			w.Due, w.Expires = w.Due.Add(time.Minute), w.Expires.Add(time.Minute)
+			go l.Wait(t.Context(), w)
+		}
+		for range 4 {
+			time.Sleep(150 * time.Millisecond)
+			e.give("a", 1000)
+			l.Freed("a")
+		}
+		time.Sleep(10 * time.Millisecond)
+		late := waiter(1000)
+		late.Due = late.Arrived
+		began := time.Now()
+		_, ok := l.Wait(t.Context(), late)
+		is.True(!ok)
+		is.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(2 * time.Minute)
+	})
+}
