Bound what all entries may send again together, and drop what nothing uses

Cause: each entry saved up ten retries; 25 entries could send 250 at once where 90 and a fifth of the requests are allowed. Fields of the configuration that nothing reads were decoded.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -35,9 +35,8 @@
 	// conn is one connection to an upstream, used by one request at a time.
 	conn struct {
 		net.Conn
-		address  string
-		reader   *bufio.Reader
-		requests int
+		address string
+		reader  *bufio.Reader
 		// expires is when an idle connection is no longer used; zero: unknown.
 		expires time.Time
 		written atomic.Int64
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -41,8 +41,6 @@
 	Answered struct {
 		Response *http.Response
 		Body     *Body
-		// Reused tells that the connection had served an earlier request.
-		Reused bool
 	}
 
 	// Request is one request to one address.
@@ -90,8 +88,6 @@
 		return NotSent{Err: err}
 	}
 	stop := context.AfterFunc(ctx, k.abort)
-	reused := k.requests > 0
-	k.requests++
 	written := k.send(r.HTTP)
 	response, err := k.receive(r)
 	if err != nil {
@@ -103,7 +99,7 @@
 		}
 		return Lost{Err: eris.Wrap(err, "upstream")}
 	}
-	return Answered{Response: response, Body: c.attach(k, response, stop, written), Reused: reused}
+	return Answered{Response: response, Body: c.attach(k, response, stop, written)}
 }
 
 func (c *Client) connection(ctx context.Context, r Request) (*conn, error) {
--- a/router/exchange/idle.go
+++ b/router/exchange/idle.go
@@ -13,8 +13,9 @@
 	defaultSilence = 2 * time.Second
 	// defaultIdleLife closes connections that nothing has used.
 	defaultIdleLife = 10 * time.Second
-	// defaultIdlePerAddress bounds the idle connections to one upstream.
-	defaultIdlePerAddress = 32
+	// defaultIdlePerAddress bounds the idle connections to one upstream, which takes a few
+	// hundred from all entries together.
+	defaultIdlePerAddress = 8
 )
 
 type (
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -20,6 +20,8 @@
 const (
 	// defaultRetryRatio is the share of requests that may be sent once more.
 	defaultRetryRatio = 0.1
+	// defaultRetryBurst is the number of retries that an entry saves up for a pool.
+	defaultRetryBurst = 10
 	// defaultReservationLife covers a prefill where engines state no bound.
 	defaultReservationLife = time.Second
 	// noUpstreamRetry is when a caller comes back to a pool that has no upstream: a restart
@@ -41,6 +43,7 @@
 		observe    Observer
 		dataCentre string
 		retryRatio float64
+		retryBurst int
 
 		mu      sync.Mutex
 		random  *rand.Rand
@@ -78,6 +81,7 @@
 		log:        event.Discard(),
 		observe:    func(Record) {},
 		retryRatio: defaultRetryRatio,
+		retryBurst: defaultRetryBurst,
 		random:     rand.New(rand.NewPCG(1, 1)),
 		pools:      make(map[string]*pool),
 	}
@@ -107,6 +111,11 @@
 	return func(g *Gateway) { g.retryRatio = ratio }
 }
 
+// WithRetryBurst sets how many retries are saved up for each pool.
+func WithRetryBurst(retries int) Option {
+	return func(g *Gateway) { g.retryBurst = retries }
+}
+
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option {
 	return func(g *Gateway) { g.random = rand.New(rand.NewPCG(seed, seed)) }
@@ -177,7 +186,7 @@
 	if s, found := g.pools[p.Name]; found {
 		return s
 	}
-	s := &pool{budget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart()), pace: newPace()}
+	s := &pool{budget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), pace: newPace()}
 	members := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -59,8 +59,6 @@
 	EngineLimits struct {
 		// KVTokens is the KV cache memory of an engine, in tokens.
 		KVTokens int
-		// HandleLife is how long an engine keeps a prefilled prompt for a decode engine.
-		HandleLife time.Duration
 		// MaxReservation is the longest life of a memory reservation.
 		MaxReservation time.Duration
 		// EventTokens is the number of tokens in one event of a stream.
@@ -70,18 +68,14 @@
 	// Pool describes the upstreams of one service.
 	Pool struct {
 		Name string
-		// MaxConnections bounds the connections of all callers to one upstream.
-		MaxConnections int
 		// Engine is set for pools of model engines.
 		Engine *EngineLimits
 	}
 
-	// Limits bound what a caller may send, and how slowly.
+	// Limits bound what a caller may send, and how long its connection may be idle.
 	Limits struct {
-		HeaderBytes   int
-		BodyBytes     int64
-		HeaderTimeout time.Duration
-		IdleTimeout   time.Duration
+		BodyBytes   int64
+		IdleTimeout time.Duration
 	}
 
 	// Configuration is one version of the rules. It is not changed once it is in force.
--- /dev/null
+++ b/router/metric/metric_test.go
@@ -0,0 +1,51 @@
+package metric_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/metric"
+	"gooseberrypin.example/router/refusal"
+)
+
+func text(s *metric.Set) string {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+func TestRequests(t *testing.T) {
+	is := is.New(t)
+	s := metric.NewSet()
+	route := &ingress.Route{Name: "care"}
+	s.Request(gateway.Record{Route: route, Pool: "chat", Sends: 2, Reserves: 3, Tokens: 10, First: 80 * time.Millisecond, Took: time.Second})
+	s.Request(gateway.Record{Route: route, Refusal: refusal.New(refusal.RanNo, refusal.Overloaded, 0, "full")})
+	page := text(s)
+	for _, line := range []string{
+		`gooseberry_requests_total{outcome="served",ran="yes",reason="",route="care"} 1`,
+		`gooseberry_requests_total{outcome="refused",ran="no",reason="overloaded",route="care"} 1`,
+		`gooseberry_first_byte_seconds_bucket{route="care",le="0.1"} 1`,
+		`gooseberry_sends_total{hop="reserve",pool="chat"} 3`,
+	} {
+		is.True(strings.Contains(page, line))
+	}
+	is.Equal(s.Served(), int64(1))
+}
+
+// Routes come and go; the labels stay bounded.
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := metric.NewSet()
+	for i := range 1000 {
+		s.Request(gateway.Record{Route: &ingress.Route{Name: fmt.Sprint("r", i)}})
+	}
+	is.Equal(strings.Count(text(s), "gooseberry_requests_total{"), 201)
+	is.True(strings.Contains(text(s), `route="other"} 800`))
+}
--- /dev/null
+++ b/router/retry/property_test.go
@@ -0,0 +1,76 @@
+package retry_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gooseberrypin.example/router/retry"
+)
+
+const (
+	// The whole system may send ratio times the requests of a window again, and slack more.
+	ratio, slack = 0.2, 90.0
+	// Entries plan with a share of the ratio, and save up a part of the slack each.
+	share, entriesPlanned = 0.7, 25
+	windowSteps           = 100
+)
+
+// No window exceeds what the whole system may send again, whatever the order of requests, failures,
+// kills and restarts of its entries.
+func TestWindowsStayWithinTheAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, entriesPlanned).Draw(t, "entries")
+		budgets := make([]*retry.Budget, entries)
+		fresh := func() *retry.Budget {
+			return retry.NewBudget(ratio*share, retry.WithEmptyStart(), retry.WithBurst(max(2, int(slack/entriesPlanned))))
+		}
+		for i := range budgets {
+			budgets[i] = fresh()
+		}
+		failing := rapid.SliceOfN(rapid.Bool(), 8, 8).Draw(t, "failing by half window")
+		rate := rapid.IntRange(0, 6).Draw(t, "requests a step")
+		kills := rapid.SliceOfN(rapid.IntRange(0, 10*entries), 4*windowSteps, 4*windowSteps).Draw(t, "kills")
+		requests, extra := make([]int, 4*windowSteps), make([]int, 4*windowSteps)
+		for step := range requests {
+			if k := kills[step]; k < entries {
+				budgets[k] = fresh()
+			}
+			for r := range rate {
+				b := budgets[(step*rate+r)%entries]
+				b.Try()
+				requests[step]++
+				if failing[step*len(failing)/len(requests)] {
+					for b.Allow() {
+						extra[step]++
+					}
+				}
+			}
+		}
+		for end := windowSteps; end <= len(requests); end++ {
+			allowed := ratio*float64(most(requests, end)) + slack
+			if sent := sum(extra[end-windowSteps : end]); float64(sent) > allowed {
+				t.Fatalf("%d retries in the window that ends at step %d, allowed %.0f", sent, end, allowed)
+			}
+		}
+	})
+}
+
+// most returns the requests of the busiest of the window that ends at a step, the one before it and
+// the one half a window before it.
+func most(requests []int, end int) int {
+	busiest := 0
+	for _, back := range []int{0, windowSteps / 2, windowSteps} {
+		from, to := max(0, end-back-windowSteps), max(0, end-back)
+		busiest = max(busiest, sum(requests[from:to]))
+	}
+	return busiest
+}
+
+func sum(values []int) int {
+	total := 0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -45,8 +45,6 @@
 		Slots int
 		// Started is when the incarnation began, by its own clock; zero when unknown.
 		Started time.Time
-		// ColdFor is how much longer the upstream was slow when it published this.
-		ColdFor time.Duration
 	}
 
 	// Member is an upstream and what this process has seen of it. A member's facts do not
