--- a/router/command/command.go
+++ b/router/command/command.go
@@ -74,6 +74,7 @@
 	defer close(ended)
 	go log.ReportDropped(ended)
 	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		log.Error(err, event.SettingsRefused)
 		return exitUsage
 	}
