--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -212,7 +212,7 @@
 		Pools:   map[string]ingress.Pool{pool: {Name: pool, Engine: &ingress.EngineLimits{KVTokens: 40_000, MaxReservation: 2 * time.Second, EventTokens: 12}}},
 		Routes: []ingress.Route{{
 			Name: "r", Host: "a", Prefix: "/", Kind: kind, Timeout: timeout, Target: target,
-			MaxAttempts: 2, Backends: []ingress.Backend{{Pool: pool, Weight: 1}},
+			MaxAttempts: 2, Shares: []ingress.Share{{Pool: pool, Weight: 1}},
 		}},
 	})
 	d := upstream.NewDirectory()
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -31,8 +31,8 @@
 		MaxGap time.Duration
 	}
 
-	// Backend is a pool's share of a route.
-	Backend struct {
+	// Share is a pool's share of a route.
+	Share struct {
 		Pool   string
 		Weight int
 	}
@@ -50,7 +50,7 @@
 		Target time.Duration
 		// Priority ranks routes; 0 is the most urgent.
 		Priority int
-		Backends []Backend
+		Shares   []Share
 		// MaxAttempts is the number of upstreams that one request may be sent to.
 		MaxAttempts int
 	}
@@ -108,7 +108,7 @@
 		if err := r.check(); err != nil {
 			return eris.Wrapf(err, "route %q", r.Name)
 		}
-		for _, b := range r.Backends {
+		for _, b := range r.Shares {
 			if _, found := c.Pools[b.Pool]; !found {
 				return eris.Errorf("route %q: pool %q is not declared", r.Name, b.Pool)
 			}
@@ -127,11 +127,11 @@
 		return eris.Errorf("timeout %v is not positive", r.Timeout)
 	case r.MaxAttempts < 1:
 		return eris.Errorf("max attempts %d is below 1", r.MaxAttempts)
-	case len(r.Backends) == 0:
+	case len(r.Shares) == 0:
 		return eris.New("no pool")
 	}
 	total := 0
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		if b.Weight < 0 {
 			return eris.Errorf("pool %q: weight %d is negative", b.Pool, b.Weight)
 		}
--- a/router/ingress/ingress_test.go
+++ b/router/ingress/ingress_test.go
@@ -14,7 +14,7 @@
 func route(name, host, prefix string) ingress.Route {
 	return ingress.Route{
 		Name: name, Host: host, Prefix: prefix, Kind: ingress.Idempotent{}, Timeout: time.Second, MaxAttempts: 1,
-		Backends: []ingress.Backend{{Pool: "desk", Weight: 1}},
+		Shares: []ingress.Share{{Pool: "desk", Weight: 1}},
 	}
 }
 
@@ -67,7 +67,7 @@
 func TestPickFollowsWeights(t *testing.T) {
 	is := is.New(t)
 	r := route("split", "a", "/")
-	r.Backends = []ingress.Backend{{Pool: "x", Weight: 90}, {Pool: "y", Weight: 10}, {Pool: "none", Weight: 0}}
+	r.Shares = []ingress.Share{{Pool: "x", Weight: 90}, {Pool: "y", Weight: 10}, {Pool: "none", Weight: 0}}
 	random := rand.New(rand.NewPCG(1, 2))
 	drawn := map[string]int{}
 	for range 10_000 {
@@ -86,9 +86,9 @@
 		"kind":         {func(r *ingress.Route) { r.Kind = nil }, `route "r": kind is missing`},
 		"timeout":      {func(r *ingress.Route) { r.Timeout = 0 }, `route "r": timeout 0s is not positive`},
 		"attempts":     {func(r *ingress.Route) { r.MaxAttempts = 0 }, `route "r": max attempts 0 is below 1`},
-		"no pool":      {func(r *ingress.Route) { r.Backends = nil }, `route "r": no pool`},
-		"no weight":    {func(r *ingress.Route) { r.Backends[0].Weight = 0 }, `route "r": all weights are 0`},
-		"unknown pool": {func(r *ingress.Route) { r.Backends[0].Pool = "x" }, `route "r": pool "x" is not declared`},
+		"no pool":      {func(r *ingress.Route) { r.Shares = nil }, `route "r": no pool`},
+		"no weight":    {func(r *ingress.Route) { r.Shares[0].Weight = 0 }, `route "r": all weights are 0`},
+		"unknown pool": {func(r *ingress.Route) { r.Shares[0].Pool = "x" }, `route "r": pool "x" is not declared`},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/router/ingress/table.go
+++ b/router/ingress/table.go
@@ -53,17 +53,17 @@
 // Pick draws the pool of one request by weight.
 func (r *Route) Pick(random *rand.Rand) string {
 	total := 0
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		total += b.Weight
 	}
 	drawn := random.IntN(max(total, 1))
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		if drawn < b.Weight {
 			return b.Pool
 		}
 		drawn -= b.Weight
 	}
-	return r.Backends[len(r.Backends)-1].Pool
+	return r.Shares[len(r.Shares)-1].Pool
 }
 
 // Put takes a checked configuration if its version is higher than the one in force, and reports
