--- a/router/event/bounded.go
+++ b/router/event/bounded.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// passPlain reports whether a line about what went well is written. No gate lets all pass.
+func (g *gate) passPlain() bool {
+	return g == nil || g.allow(g.plain)
+}
+
+// passFailure is passPlain for a line about a failure.
+func (g *gate) passFailure() bool {
+	return g == nil || g.allow(g.failure)
+}
+
 func (g *gate) allow(l *rate.Limiter) bool {
 	if l.Allow() {
 		return true
--- a/router/event/event.go
+++ b/router/event/event.go
@@ -42,7 +42,7 @@
 
 // Info writes an event with alternating field names and values.
 func (l Log) Info(e Event, fields ...any) {
-	if l.gate != nil && !l.gate.allow(l.gate.plain) {
+	if !l.gate.passPlain() {
 		return
 	}
 	l.logger.Info(e.Text, append([]any{numberField, e.Number}, fields...)...)
@@ -50,7 +50,7 @@
 
 // Error writes an event with the error that caused it.
 func (l Log) Error(err error, e Event, fields ...any) {
-	if l.gate != nil && !l.gate.allow(l.gate.failure) {
+	if !l.gate.passFailure() {
 		return
 	}
 	l.logger.Error(err, e.Text, append([]any{numberField, e.Number}, fields...)...)
@@ -58,7 +58,7 @@
 
 // Warn writes an event about a request that was not served. It is dropped later than others.
 func (l Log) Warn(e Event, fields ...any) {
-	if l.gate != nil && !l.gate.allow(l.gate.failure) {
+	if !l.gate.passFailure() {
 		return
 	}
 	l.logger.Info(e.Text, append([]any{numberField, e.Number}, fields...)...)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -142,7 +142,7 @@
 // Serve answers a request through the reply. A refusal tells what remains to be told the caller;
 // with a reply that has begun, that the answer is not whole.
 func (g *Gateway) Serve(ctx context.Context, r *Request, reply Reply) *refusal.Refusal {
-	record := Record{Request: r, Began: r.Arrived}
+	record := Record{Request: r}
 	refused := g.serve(ctx, r, reply, &record)
 	record.Refusal = refused
 	record.Took = time.Since(r.Arrived)
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -16,7 +16,6 @@
 		// Version of the configuration that chose the route.
 		Version int64
 		Pool    string
-		Began   time.Time
 		Took    time.Duration
 		// Waited is the time in the line for decode memory.
 		Waited time.Duration
@@ -61,7 +60,8 @@
 	fields := []any{
 		"request", r.Request.ID, "route", r.RouteName(), "pool", r.Pool, "version", r.Version,
 		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends,
-		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events, "max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumed, "spent_ms", r.Spent.Milliseconds(),
+		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events,
+		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumed, "spent_ms", r.Spent.Milliseconds(),
 		"waited_ms", r.Waited.Milliseconds(), "first_ms", r.First.Milliseconds(), "took_ms", r.Took.Milliseconds(),
 	}
 	if r.Cause != "" {
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -62,18 +62,21 @@
 		m.Replaced()
 		g.log.Info(event.UpstreamReplaced, "upstream", m.ID, "address", m.Address)
 	case Unreachable:
-		pause := m.Lost(time.Now())
-		g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
+		g.ejected(m, m.Lost(time.Now()), err)
 	}
 }
 
 // failed records an upstream that gave no whole answer.
 func (g *Gateway) failed(m *upstream.Member, err error) {
 	if pause, ejected := m.Failed(time.Now()); ejected {
-		g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
+		g.ejected(m, pause, err)
 	}
 }
 
+func (g *Gateway) ejected(m *upstream.Member, pause time.Duration, err error) {
+	g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
+}
+
 // reserve asks an engine for memory, and keeps what its answer tells of the engine.
 func (g *Gateway) reserve(ctx context.Context, m *upstream.Member, tokens int, life time.Duration) line.Outcome {
 	outcome := g.upstreams.Reserve(ctx, m, tokens, life)
--- a/router/line/drain.go
+++ b/router/line/drain.go
@@ -1,6 +1,9 @@
 package line
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// drainShare is the share of a new interval in the smoothed one: it follows a change of
@@ -45,18 +48,10 @@
 	if t.class(now) == late {
 		limit = t.Patience
 	}
-	select {
-	case r := <-t.result:
-		t.result <- r
+	ahead := slices.Index(l.waiting, t)
+	if ahead < 0 {
+		// The line has refused it already.
 		return false
-	default:
-	}
-	ahead := 0
-	for _, other := range l.waiting {
-		if other == t {
-			break
-		}
-		ahead++
 	}
 	forecast := caution * float64(ahead+1) * float64(l.drain.interval)
 	return now.Add(time.Duration(forecast)).After(limit)
--- a/router/line/line.go
+++ b/router/line/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -307,11 +308,8 @@
 }
 
 func (l *Line) leave(t *ticket) {
-	for i, other := range l.waiting {
-		if other == t {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(l.waiting, t); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
 	}
 }
 
--- a/router/line/line_test.go
+++ b/router/line/line_test.go
@@ -176,24 +176,29 @@
 	})
 }
 
+// congest lets patient waiters fill a line, and grants memory to four of them, 150 ms apart.
+func congest(t *testing.T, l *line.Line, e *engines, waiters int) {
+	t.Helper()
+	for range waiters {
+		w := waiter(1000)
+		w.Due, w.Expires = w.Due.Add(time.Minute), w.Expires.Add(time.Minute)
+		go l.Wait(t.Context(), w)
+	}
+	for range 4 {
+		time.Sleep(150 * time.Millisecond)
+		e.give("a", 1000)
+		l.Freed("a")
+	}
+	time.Sleep(10 * time.Millisecond)
+}
+
 // A newcomer who can't be on time is refused at once, with time to come back.
 func TestHopelessNewcomerIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newEngines(map[string]int{"a": 0})
 		l := e.line()
-		for range 12 {
-			w := waiter(1000)
-			w.Due = w.Due.Add(time.Minute)
-			w.Expires = w.Expires.Add(time.Minute)
-			go l.Wait(t.Context(), w)
-		}
-		for range 4 {
-			time.Sleep(150 * time.Millisecond)
-			e.give("a", 1000)
-			l.Freed("a")
-		}
-		time.Sleep(10 * time.Millisecond)
+		congest(t, l, e, 12)
 		began := time.Now()
 		_, ok := l.Wait(t.Context(), waiter(9000))
 		is.True(!ok)
@@ -243,17 +248,7 @@
 		is := is.New(t)
 		e := newEngines(map[string]int{"a": 0})
 		l := e.line()
-		for range 20 {
-			w := waiter(1000)
-			w.Due, w.Expires = w.Due.Add(time.Minute), w.Expires.Add(time.Minute)
-			go l.Wait(t.Context(), w)
-		}
-		for range 4 {
-			time.Sleep(150 * time.Millisecond)
-			e.give("a", 1000)
-			l.Freed("a")
-		}
-		time.Sleep(10 * time.Millisecond)
+		congest(t, l, e, 20)
 		late := waiter(1000)
 		late.Due = late.Arrived
 		began := time.Now()
