--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -42,6 +42,10 @@
 	MemberLeft = Event{Number: 6020, Text: "entry left"}
 	// ContentSuspected tells that contents ran at an engine when it died.
 	ContentSuspected = Event{Number: 6021, Text: "content suspected"}
+	// SendBroke tells that an upstream gave no whole answer to what was sent to it.
+	SendBroke = Event{Number: 6022, Text: "send broke off"}
+	// ContentKept tells that content is kept from all upstreams from now on.
+	ContentKept = Event{Number: 6023, Text: "content kept from upstreams"}
 	// ListRead tells that the whole list of upstreams was read anew.
 	ListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -33,6 +33,7 @@
 		result Result
 		body   []byte
 		took   time.Duration
+		path   Path
 	}
 )
 
@@ -50,7 +51,7 @@
 	tried := make(map[string]bool)
 	var failure *callResult
 	running, ran, notRun := 0, 0, 0
-	if !w.send(ctx, tried, results) {
+	if !w.send(ctx, FirstTry, tried, results) {
 		return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetry, "no upstream in %s", w.pool.Name)
 	}
 	running++
@@ -61,12 +62,12 @@
 		case <-ctx.Done():
 			return w.ended(ctx, refusal.RanUnknown)
 		case <-hedge.C:
-			if repeatable && ran+running < w.route.MaxAttempts && w.shared.budget.Allow() && w.send(ctx, tried, results) {
+			if repeatable && ran+running < w.route.MaxAttempts && w.shared.budget.Allow() && w.send(ctx, Hedge, tried, results) {
 				running++
 			}
 		case c := <-results:
 			running--
-			again := false
+			again, path := false, Retry
 			switch r := c.result.(type) {
 			case Answer:
 				if r.Status < http.StatusInternalServerError {
@@ -77,6 +78,7 @@
 				again = repeatable && ran+running < w.route.MaxAttempts && running == 0
 			case NotRun:
 				notRun++
+				path = AfterNotRun
 				again = running == 0 && notRun < maxNotRun
 			case Unknown:
 				ran++
@@ -85,7 +87,7 @@
 				}
 				again = repeatable && ran+running < w.route.MaxAttempts && running == 0
 			}
-			if again && w.affordable(c.result) && w.send(ctx, tried, results) {
+			if again && w.affordable(c.result) && w.send(ctx, path, tried, results) {
 				running++
 			}
 		}
@@ -111,24 +113,24 @@
 }
 
 // send starts a send to another upstream and reports whether there is one.
-func (w *work) send(ctx context.Context, tried map[string]bool, results chan<- callResult) bool {
+func (w *work) send(ctx context.Context, p Path, tried map[string]bool, results chan<- callResult) bool {
 	m := w.gateway.pick(chooseService, w.gateway.services(w.pool.Name), w.gateway.dataCentre, tried)
 	if m == nil {
 		return false
 	}
 	tried[m.ID] = true
 	w.record.Upstream = m.ID
-	w.record.Sends++
+	w.sent(p)
 	m.Begin(0)
 	go func() {
 		defer m.End(0)
 		began := time.Now()
-		c := callResult{member: m, result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
+		c := callResult{member: m, path: p, result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
 		if a, ok := c.result.(Answer); ok {
 			c.body, c.result = readWhole(a)
 		}
 		c.took = time.Since(began)
-		w.gateway.learn(ctx, c)
+		w.learn(ctx, c)
 		results <- c
 	}()
 	return true
@@ -148,7 +150,7 @@
 }
 
 // learn keeps what a send told of its upstream. A send that the caller ended tells nothing.
-func (g *Gateway) learn(ctx context.Context, c callResult) {
+func (w *work) learn(ctx context.Context, c callResult) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -158,9 +160,10 @@
 			c.member.Succeeded(c.took)
 		}
 	case NotRun:
-		g.note(c.member, r.Reason, r.Err)
+		w.gateway.note(c.member, r.Reason, r.Err)
 	case Unknown:
-		g.failed(c.member, r.Err)
+		w.broke(c.member, c.path, r.Err)
+		w.gateway.failed(c.member, r.Err)
 	}
 }
 
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -69,8 +70,10 @@
 	if len(contents) == 0 {
 		return
 	}
+	before := s.quarantined(contents, now)
 	s.table.Report(contents, m.ID, now)
 	s.log.Info(event.ContentSuspected, "upstream", m.ID, "contents", contents)
+	s.told(s.quarantined(contents, now), before, "")
 }
 
 // sweep forgets what is too long ago. The caller holds the lock.
@@ -100,7 +103,34 @@
 	return quarantine.Latest(g.crashes.table.Suspects(now), maxSuspectsTold)
 }
 
-// HearSuspects takes what other entries know of contents that crashed engines.
-func (g *Gateway) HearSuspects(suspects []quarantine.Suspect, now time.Time) {
+// HearSuspects takes what another entry knows of contents that crashed engines.
+func (g *Gateway) HearSuspects(suspects []quarantine.Suspect, from string, now time.Time) {
+	contents := make([]string, 0, len(suspects))
+	for _, s := range suspects {
+		contents = append(contents, s.Fingerprint)
+	}
+	before := g.crashes.quarantined(contents, now)
 	g.crashes.table.Merge(suspects, now)
+	g.crashes.told(g.crashes.quarantined(contents, now), before, from)
+}
+
+// quarantined returns those contents that are kept from upstreams.
+func (s *crashes) quarantined(contents []string, now time.Time) []string {
+	var kept []string
+	for _, c := range contents {
+		if _, ok := s.table.Check(c, now).(quarantine.Quarantined); ok {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// told logs the contents that are kept from upstreams now and were not before. from is the entry that
+// told of them; empty: this one found them.
+func (s *crashes) told(kept, before []string, from string) {
+	for _, c := range kept {
+		if !slices.Contains(before, c) {
+			s.log.Info(event.ContentKept, "content", c, "from", from)
+		}
+	}
 }
--- a/router/gateway/crash_test.go
+++ b/router/gateway/crash_test.go
@@ -57,7 +57,7 @@
 		is.Equal(outcome(g.Serve(t.Context(), harmless, &reply{})), "answered")
 
 		second := world(t, &fake{}, ingress.Streaming{Resumable: true})
-		second.HearSuspects(g.Suspects(time.Now()), time.Now())
+		second.HearSuspects(g.Suspects(time.Now()), "10.1.0.2:8144", time.Now())
 		is.Equal(outcome(second.Serve(t.Context(), request(), &reply{})), "quarantined/no")
 		synctest.Wait()
 	})
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -51,6 +51,9 @@
 		// runs counts the decode engines that may have run the request.
 		runs     int
 		resuming bool
+		// decodes counts the decodes that were sent, decoding is why the last one was.
+		decodes  int
+		decoding Path
 		// held is memory that was found while an engine was silent; nil: none.
 		held *line.Grant
 		// reserved is the part of the retry budget that only this generation may use.
@@ -288,7 +291,8 @@
 	n.vigil = n.watch(ctx, cancel)
 	defer n.endVigil()
 	terms.Terms = n.terms()
-	n.record.Sends++
+	n.decoding = n.path()
+	n.sent(n.decoding)
 	result := n.gateway.upstreams.Decode(decoding, m, n.request, terms)
 	if r, ok := result.(NotRun); !ok || r.Reason != Unreachable {
 		n.arrived()
@@ -302,7 +306,7 @@
 		return n.answer(ctx, m, r, granted)
 	case NotRun:
 		if ctx.Err() == nil {
-			n.note(m, r.Reason, r.Err)
+			n.note(m, n.decoding, r.Reason, r.Err)
 		}
 		n.giveBack(m, terms)
 		return n.retryOr("the decode engine did not take the request")
@@ -314,6 +318,18 @@
 	return again{}
 }
 
+// path is why the next decode is sent.
+func (n *generation) path() Path {
+	n.decodes++
+	switch {
+	case n.resuming:
+		return Resume
+	case n.decodes > 1:
+		return AfterNotRun
+	}
+	return FirstTry
+}
+
 // endVigil ends the vigil over a decode and takes over what it found.
 func (n *generation) endVigil() {
 	held, reserved := n.vigil.end()
@@ -331,6 +347,7 @@
 	}
 	n.endVigil()
 	n.record.Cause = err.Error()
+	n.broke(m, n.decoding, err)
 	n.gateway.failed(m, err)
 	n.gateway.crashes.broke(m, n.fingerprint, time.Now())
 	n.avoid = m.ID
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -57,7 +57,7 @@
 	m.Begin(tokens)
 	defer m.End(tokens)
 	n.record.Source = m.ID
-	n.record.Sends++
+	n.sent(PromptRead)
 	began := time.Now()
 	terms := n.terms()
 	terms.Patience = n.prefillPatience(m)
@@ -73,7 +73,7 @@
 		return r.Cache, true
 	case PrefillFailed:
 		if ctx.Err() == nil {
-			n.note(m, r.Reason, r.Err)
+			n.note(m, PromptRead, r.Reason, r.Err)
 		}
 		if r.Reason != Unreachable {
 			n.arrived()
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -29,7 +29,7 @@
 		Upstream string
 		Source   string
 		// Sends counts what was sent to upstreams, Reserves the engines asked for memory.
-		Sends    int
+		Sends    Sends
 		Reserves int
 		// Spent is how long ago the first try of a refused request arrived; zero: this is the first.
 		Spent time.Duration
@@ -80,7 +80,7 @@
 func (g *Gateway) logRequest(r Record) {
 	fields := []any{
 		"request", r.Request.ID, "route", r.RouteName(), "pool", r.Pool, "version", r.Version,
-		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends,
+		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends.Total(),
 		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events,
 		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumed, "spent_ms", r.Spent.Milliseconds(),
 		"waited_ms", r.Waited.Milliseconds(), "prefill_ms", r.Prefill.Milliseconds(), "first_ms", r.First.Milliseconds(), "took_ms", r.Took.Milliseconds(),
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -45,14 +45,23 @@
 
 // note keeps the last failure for the record, and tells the directory of an upstream that is
 // another one now or takes no connections.
-func (w *work) note(m *upstream.Member, reason NotRunReason, err error) {
+func (w *work) note(m *upstream.Member, p Path, reason NotRunReason, err error) {
 	w.record.Cause = reason.String()
 	if err != nil {
 		w.record.Cause += ": " + err.Error()
 	}
+	if reason == NoAnswer {
+		w.broke(m, p, err)
+	}
 	w.gateway.note(m, reason, err)
 }
 
+// broke logs a send that gave no whole answer.
+func (w *work) broke(m *upstream.Member, p Path, err error) {
+	w.gateway.log.Error(err, event.SendBroke, "request", w.request.ID, "upstream", m.ID, "address", m.Address,
+		"path", p.String(), "content", contentName(w.request.fingerprint()), "took_ms", time.Since(w.request.Arrived).Milliseconds())
+}
+
 func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
 	switch reason {
 	case NoAnswer:
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -77,6 +77,14 @@
 	Option func(*Group)
 )
 
+// From is the address of the entry that tells the news, or empty.
+func (n News) From() string {
+	if len(n.Members) == 0 {
+		return ""
+	}
+	return n.Members[0].Address
+}
+
 // NewGroup returns the group of the entry at an address, which has met nobody yet. The start of the
 // process is its incarnation.
 func NewGroup(address string, seeds []string, peers Peers, log event.Log, opts ...Option) *Group {
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -52,7 +52,7 @@
 			"Time of a request's hops by pool: line (decode memory), prefill, answer (a decode or a call, to its end).", "pool", "hop"),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberry_sends_total",
-			Help: "Requests sent to upstreams by pool; reservations by pool under hop=reserve.",
+			Help: "What was sent to upstreams by pool and hop: first, prefill, after_not_run, retry, hedge, resume; reserve for reservations.",
 		}, []string{"pool", "hop"}),
 	}
 	s.registry.MustRegister(s.requests, s.first, s.whole, s.waited, s.hops, s.sends)
@@ -91,13 +91,17 @@
 	if r.Tokens > 0 {
 		s.waited.WithLabelValues(route).Observe(r.Waited.Seconds())
 	}
-	s.sends.WithLabelValues(r.Pool, "run").Add(float64(r.Sends))
+	for path, sent := range r.Sends {
+		if sent > 0 {
+			s.sends.WithLabelValues(r.Pool, gateway.Path(path).String()).Add(float64(sent))
+		}
+	}
 	s.sends.WithLabelValues(r.Pool, "reserve").Add(float64(r.Reserves))
 }
 
 // observeHops records how long each hop of a request took.
 func (s *Set) observeHops(r gateway.Record) {
-	if r.Sends == 0 {
+	if r.Sends.Total() == 0 {
 		return
 	}
 	if r.Tokens > 0 {
--- a/router/metric/metric_test.go
+++ b/router/metric/metric_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	s := metric.NewSet()
 	route := &ingress.Route{Name: "care", Kind: ingress.Streaming{}}
-	s.Request(gateway.Record{Route: route, Pool: "chat", Sends: 2, Reserves: 3, Tokens: 10, First: 80 * time.Millisecond, Took: time.Second,
+	s.Request(gateway.Record{Route: route, Pool: "chat", Sends: gateway.Sends{gateway.FirstTry: 1, gateway.PromptRead: 1}, Reserves: 3, Tokens: 10, First: 80 * time.Millisecond, Took: time.Second,
 		Waited: 40 * time.Millisecond, Prefill: 150 * time.Millisecond})
 	s.Request(gateway.Record{Route: route, Refusal: refusal.New(refusal.RanNo, refusal.Overloaded, 0, "full")})
 	page := text(s)
@@ -34,6 +34,8 @@
 		`gooseberry_requests_total{kind="stream",outcome="refused",ran="no",reason="overloaded",route="care"} 1`,
 		`gooseberry_first_byte_seconds_bucket{route="care",le="0.1"} 1`,
 		`gooseberry_sends_total{hop="reserve",pool="chat"} 3`,
+		`gooseberry_sends_total{hop="first",pool="chat"} 1`,
+		`gooseberry_sends_total{hop="prefill",pool="chat"} 1`,
 		`gooseberry_hop_seconds_bucket{hop="line",pool="chat",le="0.05"} 1`,
 		`gooseberry_hop_seconds_bucket{hop="prefill",pool="chat",le="0.1"} 0`,
 		`gooseberry_hop_seconds_bucket{hop="prefill",pool="chat",le="0.2"} 1`,
