--- a/gooseberryctl/request_test.go
+++ b/gooseberryctl/request_test.go
@@ -71,6 +71,8 @@
 	return gateway.Answer{Status: 200, Body: torn{strings.NewReader("id: 1\n\nid: 2\n\nid: ")}, Length: -1}
 }
 
+func (failing) Probe(context.Context, *upstream.Member) error { return nil }
+
 func (failing) FreeReservation(*upstream.Member, string) {}
 func (failing) FreeCache(*upstream.Member, string)       {}
 
--- a/router/adapter/wire/wire.go
+++ b/router/adapter/wire/wire.go
@@ -90,6 +90,7 @@
 			Fingerprint: s.Fingerprint,
 			Crashes:     s.Crashes,
 			Cleared:     s.Cleared,
+			Unproven:    s.Unproven,
 			RemainingMs: s.Remaining.Milliseconds(),
 		})
 	}
@@ -104,6 +105,7 @@
 			Fingerprint: m.GetFingerprint(),
 			Crashes:     m.GetCrashes(),
 			Cleared:     m.GetCleared(),
+			Unproven:    m.GetUnproven(),
 			Remaining:   Milliseconds(m.GetRemainingMs()),
 		})
 	}
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -35,7 +35,11 @@
 	NotSent struct{ Err error }
 
 	// Lost requests were sent, at least in part, and have no whole answer head. They may run.
-	Lost struct{ Err error }
+	Lost struct {
+		Err error
+		// Cut tells that the connection ended; otherwise it was given up here.
+		Cut bool
+	}
 
 	// Answered requests have an answer, whose body is still to be read and released.
 	Answered struct {
@@ -97,7 +101,8 @@
 		if k.sent() == 0 {
 			return NotSent{Err: eris.Wrap(errors.Join(err, failed), "upstream")}
 		}
-		return Lost{Err: eris.Wrap(err, "upstream")}
+		cut := ctx.Err() == nil && !errors.Is(err, ErrSilent) && !errors.Is(err, errStrays) && !errors.Is(err, errInterim)
+		return Lost{Err: eris.Wrap(err, "upstream"), Cut: cut}
 	}
 	return Answered{Response: response, Body: c.attach(k, response, stop, written)}
 }
@@ -115,6 +120,19 @@
 	return c.dial(ctx, r.Address)
 }
 
+// Probe opens a connection to an address, which a later request may use.
+func (c *Client) Probe(ctx context.Context, address string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c.dials.Add(1)
+	k, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.idle.put(k, time.Now())
+	return nil
+}
+
 // attach makes the end of the body decide what becomes of the connection.
 func (c *Client) attach(k *conn, response *http.Response, stop func() bool, written <-chan error) *Body {
 	finish := func(whole bool) {
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/upstream"
 )
@@ -34,6 +35,7 @@
 		body   []byte
 		took   time.Duration
 		path   Path
+		try    quarantine.Try
 	}
 )
 
@@ -62,7 +64,7 @@
 		case <-ctx.Done():
 			return w.ended(ctx, refusal.RanUnknown)
 		case <-hedge.C:
-			if repeatable && ran+running < w.route.MaxAttempts && w.shared.budget.Allow() && w.send(ctx, Hedge, tried, results) {
+			if repeatable && ran+running < w.route.MaxAttempts && w.kept(refusal.RanNo) == nil && w.shared.budget.Allow() && w.send(ctx, Hedge, tried, results) {
 				running++
 			}
 		case c := <-results:
@@ -87,7 +89,7 @@
 				}
 				again = repeatable && ran+running < w.route.MaxAttempts && running == 0
 			}
-			if again && w.affordable(c.result) && w.send(ctx, path, tried, results) {
+			if again && w.kept(refusal.RanNo) == nil && w.affordable(c.result) && w.send(ctx, path, tried, results) {
 				running++
 			}
 		}
@@ -125,7 +127,7 @@
 	go func() {
 		defer m.End(0)
 		began := time.Now()
-		c := callResult{member: m, path: p, result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
+		c := callResult{member: m, path: p, try: w.try(m), result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
 		if a, ok := c.result.(Answer); ok {
 			c.body, c.result = readWhole(a)
 		}
@@ -142,7 +144,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxCallBody+1))
 	switch {
 	case err != nil:
-		return nil, Unknown{Err: eris.Wrap(err, "answer broke off")}
+		return nil, Unknown{Err: eris.Wrap(err, "answer broke off"), Cut: true}
 	case len(body) > maxCallBody:
 		return nil, Unknown{Err: errTooLong}
 	}
@@ -151,6 +153,7 @@
 
 // learn keeps what a send told of its upstream. A send that the caller ended tells nothing.
 func (w *work) learn(ctx context.Context, c callResult) {
+	w.judge(ctx, c)
 	if ctx.Err() != nil {
 		return
 	}
@@ -167,6 +170,17 @@
 	}
 }
 
+// judge tells what a send says of its content.
+func (w *work) judge(ctx context.Context, c callResult) {
+	switch r := c.result.(type) {
+	case Answer:
+		w.answered(c.try)
+	case Unknown:
+		w.unknown(ctx, c.try, c.member, r.Cut)
+	case NotRun:
+	}
+}
+
 func (w *work) deliver(c callResult, a Answer) *refusal.Refusal {
 	w.record.Upstream = c.member.ID
 	w.record.Status = a.Status
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -1,136 +1,197 @@
 package gateway
 
 import (
-	"slices"
+	"context"
+	"errors"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/upstream"
 )
 
 const (
-	// crashWindow is how long after a stream broke off its engine must turn out to be gone for the
-	// content to be suspected: an engine that lost one answer lives on, a crashed one refuses
-	// connections until its restart.
-	crashWindow = 2 * time.Second
-	// maxBroken bounds the streams remembered for one engine: as many as it runs at once.
-	maxBroken = 64
 	// maxSuspectsTold bounds the suspects that other entries are told of at once.
-	maxSuspectsTold = 16
+	maxSuspectsTold = 32
+)
+
+var (
+	// probeAfter are the pauses after a broken answer before the upstream is asked for a connection: a
+	// process that dies closes its listener within a few milliseconds, or takes a moment for it.
+	probeAfter = []time.Duration{30 * time.Millisecond, 300 * time.Millisecond}
 )
 
 type (
-	// crashes finds the content that crashes engines, so that it does not take one after another. It
+	// crashes finds the content that crashes upstreams, so that it does not take one after another. It
 	// is safe for concurrent use.
 	crashes struct {
 		table *quarantine.Table
+		watch *quarantine.Watch
 		log   event.Log
+		// told is called when something new speaks against a content.
+		told func()
 
 		mu sync.Mutex
-		// broken are the streams that broke off lately, by engine.
-		broken map[string]brokenStreams
+		// probed are the upstreams that are being asked for a connection.
+		probed map[string]bool
 	}
+)
+
+func newCrashes(log event.Log, told func()) *crashes {
+	table := quarantine.NewTable(quarantine.WithPardon())
+	return &crashes{table: table, watch: quarantine.NewWatch(table), log: log, told: told, probed: make(map[string]bool)}
+}
 
-	brokenStreams struct {
-		contents []string
-		last     time.Time
+// contents names what a request carries, as it stays when its caller sends it again: by the caller, and
+// without it for callers whose address changes.
+func (r *Request) contents() []quarantine.Content {
+	body := strconv.FormatUint(xxhash.Sum64(r.Body), 16)
+	return []quarantine.Content{
+		{Name: digest(r.Caller, r.Header.Get("Authorization"), r.Method, r.Path, body)},
+		{Name: digest(r.Method, r.Target, body), Shared: true},
 	}
-)
+}
 
-func newCrashes(log event.Log) *crashes {
-	return &crashes{table: quarantine.NewTable(), log: log, broken: make(map[string]brokenStreams)}
+// digest is the same for the same parts.
+func digest(parts ...string) string {
+	d := xxhash.New()
+	for _, part := range parts {
+		// A digest's writes don't fail.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return strconv.FormatUint(d.Sum64(), 16)
 }
 
-// contentName is the name under which entries speak of a content.
-func contentName(fingerprint uint64) string {
-	return strconv.FormatUint(fingerprint, 16)
+// incarnation names one start of an upstream.
+func incarnation(u upstream.Upstream) string {
+	if u.Started.IsZero() {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
 }
 
-// broke records that a stream broke off at an engine.
-func (s *crashes) broke(m *upstream.Member, fingerprint uint64, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sweep(now)
-	if b := s.broken[m.ID]; len(b.contents) < maxBroken {
-		s.broken[m.ID] = brokenStreams{contents: append(b.contents, contentName(fingerprint)), last: now}
+// try begins a send of the request to an upstream.
+func (w *work) try(m *upstream.Member) quarantine.Try {
+	return quarantine.Try{Upstream: incarnation(m.Upstream), Contents: w.contents, Began: time.Now()}
+}
+
+// kept refuses a request whose content is kept from upstreams; nil: it may be sent.
+func (w *work) kept(ran refusal.Ran) *refusal.Refusal {
+	now := time.Now()
+	for _, c := range w.contents {
+		if q, ok := w.gateway.crashes.table.Check(c.Name, now).(quarantine.Quarantined); ok {
+			return refusal.New(ran, refusal.Quarantined, q.Remaining, "content %s crashed upstreams and is kept from them for %v", c.Name, q.Remaining.Round(time.Second))
+		}
 	}
+	return nil
 }
 
-// gone records that an engine refuses connections or was replaced. What broke off there just before
-// is suspected of it.
-func (s *crashes) gone(m *upstream.Member, now time.Time) {
-	s.mu.Lock()
-	s.sweep(now)
-	contents := s.broken[m.ID].contents
-	delete(s.broken, m.ID)
-	s.mu.Unlock()
-	if len(contents) == 0 {
+// unknown records a send without a whole answer. If the connection ended by itself, it looks whether the
+// upstream is still there.
+func (w *work) unknown(ctx context.Context, t quarantine.Try, m *upstream.Member, cut bool) {
+	g := w.gateway
+	if !cut || ctx.Err() != nil {
+		g.crashes.changed(g.crashes.watch.Abandoned(t, time.Now()))
 		return
 	}
-	before := s.quarantined(contents, now)
-	s.table.Report(contents, m.ID, now)
-	s.log.Info(event.ContentSuspected, "upstream", m.ID, "contents", contents)
-	s.told(s.quarantined(contents, now), before, "")
+	g.crashes.changed(g.crashes.watch.Broke(t, time.Now()))
+	g.probe(m)
 }
 
-// sweep forgets what is too long ago. The caller holds the lock.
-func (s *crashes) sweep(now time.Time) {
-	for id, b := range s.broken {
-		if now.Sub(b.last) > crashWindow {
-			delete(s.broken, id)
-		}
+func (w *work) answered(t quarantine.Try) {
+	w.gateway.crashes.watch.Answered(t, time.Now())
+}
+
+// probe asks an upstream for a connection some moments after an answer broke off there. A refusal
+// proves that the upstream ended.
+func (g *Gateway) probe(m *upstream.Member) {
+	if g.crashes.begin(m.ID) {
+		g.probeLater(m, probeAfter)
 	}
 }
 
-// kept returns how long content stays away from engines; zero: it may run.
-func (s *crashes) kept(fingerprint uint64, now time.Time) time.Duration {
-	if q, ok := s.table.Check(contentName(fingerprint), now).(quarantine.Quarantined); ok {
-		return q.Remaining
+func (g *Gateway) probeLater(m *upstream.Member, pauses []time.Duration) {
+	if len(pauses) == 0 {
+		g.crashes.end(m.ID)
+		return
 	}
-	return 0
+	time.AfterFunc(pauses[0], func() {
+		err := g.upstreams.Probe(context.Background(), m)
+		if err == nil {
+			g.probeLater(m, pauses[1:])
+			return
+		}
+		g.crashes.end(m.ID)
+		g.note(m, Unreachable, err)
+	})
 }
 
-// answered clears content that ran to its end.
-func (s *crashes) answered(fingerprint uint64, now time.Time) {
-	s.table.Clear(contentName(fingerprint), now)
+// begin reports whether nobody probes the upstream yet.
+func (s *crashes) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.probed[id] {
+		return false
+	}
+	s.probed[id] = true
+	return true
 }
 
-// Suspects returns the contents that crashed engines, the latest first, in bounded number.
-func (g *Gateway) Suspects(now time.Time) []quarantine.Suspect {
-	return quarantine.Latest(g.crashes.table.Suspects(now), maxSuspectsTold)
+func (s *crashes) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.probed, id)
+}
+
+// refused reports whether a connection was refused: nothing listens, so the process ended. Behind a cut
+// there is no answer at all.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// HearSuspects takes what another entry knows of contents that crashed engines.
-func (g *Gateway) HearSuspects(suspects []quarantine.Suspect, from string, now time.Time) {
-	contents := make([]string, 0, len(suspects))
-	for _, s := range suspects {
-		contents = append(contents, s.Fingerprint)
+// UpstreamEnded tells that an incarnation of an upstream is known to have ended.
+func (g *Gateway) UpstreamEnded(u upstream.Upstream) {
+	name := incarnation(u)
+	blamed := g.crashes.watch.Ended(name, time.Now())
+	if len(blamed) == 0 {
+		return
 	}
-	before := g.crashes.quarantined(contents, now)
-	g.crashes.table.Merge(suspects, now)
-	g.crashes.told(g.crashes.quarantined(contents, now), before, from)
+	g.log.Info(event.ContentSuspected, "upstream", name, "contents", blamed)
+	g.crashes.changed(true)
 }
 
-// quarantined returns those contents that are kept from upstreams.
-func (s *crashes) quarantined(contents []string, now time.Time) []string {
-	var kept []string
-	for _, c := range contents {
-		if _, ok := s.table.Check(c, now).(quarantine.Quarantined); ok {
-			kept = append(kept, c)
-		}
+// changed passes on that something new speaks against a content.
+func (s *crashes) changed(news bool) {
+	if news {
+		s.logKept("")
+		s.told()
 	}
-	return kept
 }
 
-// told logs the contents that are kept from upstreams now and were not before. from is the entry that
-// told of them; empty: this one found them.
-func (s *crashes) told(kept, before []string, from string) {
-	for _, c := range kept {
-		if !slices.Contains(before, c) {
-			s.log.Info(event.ContentKept, "content", c, "from", from)
-		}
+// logKept logs the contents that are kept from upstreams from now on. from is the entry that told of
+// them; empty: this one found them.
+func (s *crashes) logKept(from string) {
+	for _, c := range s.table.Crossed() {
+		s.log.Info(event.ContentKept, "content", c, "from", from)
 	}
 }
+
+// Suspects returns the contents that crashed upstreams, the most urgent first, in bounded number.
+func (g *Gateway) Suspects(now time.Time) []quarantine.Suspect {
+	return quarantine.Urgent(g.crashes.table.Suspects(now), maxSuspectsTold)
+}
+
+// HearSuspects takes what another entry knows of contents that crashed upstreams, and reports whether
+// anything was new.
+func (g *Gateway) HearSuspects(suspects []quarantine.Suspect, from string, now time.Time) bool {
+	news := g.crashes.table.Merge(suspects, now)
+	g.crashes.logKept(from)
+	return news
+}
--- a/router/gateway/crash_test.go
+++ b/router/gateway/crash_test.go
@@ -11,6 +11,7 @@
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/quarantine"
 )
 
 // crashing plays engines that each die when they run the content: the stream breaks off and the
@@ -41,7 +42,7 @@
 		is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "upstream_lost/yes")
 		// The engines' ends show when others find no memory there.
 		other := request()
-		other.Target = "/y"
+		other.Target, other.Path = "/y", "/y"
 		g.Serve(t.Context(), other, &reply{})
 		time.Sleep(5 * time.Second)
 		f.mu.Lock()
@@ -53,7 +54,7 @@
 		is.Equal(outcome(refused), "quarantined/no")
 		is.Equal(len(f.sends()), sent)
 		harmless := request()
-		harmless.Target = "/z"
+		harmless.Target, harmless.Path = "/z", "/z"
 		is.Equal(outcome(g.Serve(t.Context(), harmless, &reply{})), "answered")
 
 		second := world(t, &fake{}, ingress.Streaming{Resumable: true})
@@ -75,9 +76,95 @@
 			g.Serve(t.Context(), request(), &reply{})
 			time.Sleep(5 * time.Second)
 		}
-		is.Equal(len(g.Suspects(time.Now())), 0)
+		for _, s := range g.Suspects(time.Now()) {
+			is.Equal(len(s.Crashes), 0)
+		}
 		f.reset(nil)
 		is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "answered")
+		for _, s := range g.Suspects(time.Now()) {
+			is.Equal(len(s.Unproven), 0)
+		}
+		synctest.Wait()
+	})
+}
+
+// news returns what an entry tells of a request's content that crashed all upstreams of its pool.
+func news(t *testing.T, kind ingress.Kind) []quarantine.Suspect {
+	f := &fake{gone: map[string]bool{"d1": true, "d2": true, "g1": true, "g2": true}}
+	cut := step{result: gateway.Unknown{Err: errBroken, Cut: true}}
+	f.steps = map[string][]step{"d1": {cut}, "d2": {cut}, "g1": {cut}, "g2": {cut}}
+	g := world(t, f, kind)
+	for range 3 {
+		g.Serve(t.Context(), request(), &reply{})
+		time.Sleep(5 * time.Second)
+	}
+	return g.Suspects(time.Now())
+}
+
+// Content that other entries tell of while a request is on its way is not sent again, on any path.
+func TestKeptContentIsNotSentOnAnyPath(t *testing.T) {
+	const wait = 20 * time.Millisecond
+	cut := step{after: wait, result: gateway.Unknown{Err: errBroken, Cut: true}}
+	notRun := step{after: wait, result: gateway.NotRun{Reason: gateway.Full}}
+	stream := ingress.Streaming{Resumable: true}
+	tests := map[string]struct {
+		kind ingress.Kind
+		step step
+		// heard is when the news comes.
+		heard time.Duration
+		// prefills are the answers of the prefill engines.
+		prefill gateway.PrefillResult
+		sends   int
+	}{
+		"first try of a call":             {kind: ingress.NonIdempotent{}, heard: 0, sends: 0},
+		"first try of a stream":           {kind: stream, heard: 0, sends: 0},
+		"retry":                           {kind: ingress.Idempotent{}, step: cut, heard: wait / 2, sends: 1},
+		"hedge":                           {kind: ingress.Idempotent{}, step: step{after: time.Hour}, heard: wait, sends: 1},
+		"after a call that was not run":   {kind: ingress.NonIdempotent{}, step: notRun, heard: wait / 2, sends: 1},
+		"after a decode that was not run": {kind: stream, step: notRun, heard: wait / 2, sends: 2},
+		"resume":                          {kind: stream, step: step{events: []int{1, 2}, pause: wait, err: errBroken}, heard: wait, sends: 2},
+		"second prefill":                  {kind: stream, heard: wait / 2, prefill: gateway.PrefillFailed{Reason: gateway.NoAnswer, Err: errBroken, Cut: true}, sends: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				suspects := news(t, tt.kind)
+				f := &fake{}
+				g := world(t, f, tt.kind, gateway.WithRetryRatio(0.5))
+				earn(t, g, 20)
+				f.reset(map[string][]step{"d1": {tt.step}, "d2": {tt.step}, "g1": {tt.step}, "g2": {tt.step}})
+				if tt.prefill != nil {
+					f.prefillTime = wait
+					f.prefills = map[string][]gateway.PrefillResult{"p1": {tt.prefill}, "p2": {tt.prefill}}
+				}
+				before := len(f.sends())
+				hear := func() { g.HearSuspects(suspects, "10.1.0.2:8144", time.Now()) }
+				if tt.heard == 0 {
+					hear()
+				} else {
+					time.AfterFunc(tt.heard, hear)
+				}
+				g.Serve(t.Context(), request(), &reply{})
+				is.Equal(len(f.sends())-before, tt.sends)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A refusal of content that is kept from upstreams tells the truth, and when to come back.
+func TestKeptContentIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		suspects := news(t, ingress.NonIdempotent{})
+		g := world(t, &fake{}, ingress.NonIdempotent{})
+		g.HearSuspects(suspects, "", time.Now())
+		began := time.Now()
+		refused := g.Serve(t.Context(), request(), &reply{})
+		is.Equal(outcome(refused), "quarantined/no")
+		is.True(refused.RetryAfter > time.Minute)
+		is.Equal(time.Since(began), time.Duration(0))
 		synctest.Wait()
 	})
 }
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,10 +50,12 @@
 		reserve     func(id string, tokens int) line.Outcome
 		// onBreak is told of each upstream whose answer breaks off.
 		onBreak func(id string)
-		sent    []string
-		afters  []string
-		freed   []string
-		left    []time.Duration
+		// gone upstreams take no connections.
+		gone   map[string]bool
+		sent   []string
+		afters []string
+		freed  []string
+		left   []time.Duration
 	}
 
 	// body plays the events of a stream in the runtime's time.
@@ -208,6 +211,15 @@
 	return line.Reserved{ID: "hold-" + m.ID}
 }
 
+func (f *fake) Probe(_ context.Context, m *upstream.Member) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[m.ID] {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
 func (f *fake) FreeReservation(_ *upstream.Member, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -46,6 +46,7 @@
 		retryBurst int
 		entries    func() int
 		crashes    *crashes
+		news       func()
 
 		mu      sync.Mutex
 		random  *rand.Rand
@@ -85,13 +86,14 @@
 		retryRatio: defaultRetryRatio,
 		retryBurst: defaultRetryBurst,
 		entries:    func() int { return 1 },
+		news:       func() {},
 		random:     rand.New(rand.NewPCG(1, 1)),
 		pools:      make(map[string]*pool),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.crashes = newCrashes(g.log)
+	g.crashes = newCrashes(g.log, g.news)
 	return g
 }
 
@@ -125,6 +127,11 @@
 	return func(g *Gateway) { g.entries = entries }
 }
 
+// WithNews sets what is called when other entries should hear soon of content that crashes upstreams.
+func WithNews(tell func()) Option {
+	return func(g *Gateway) { g.news = tell }
+}
+
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option {
 	return func(g *Gateway) { g.random = rand.New(rand.NewPCG(seed, seed)) }
@@ -181,6 +188,10 @@
 	w := &work{gateway: g, request: r, route: route, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.shared = g.shared(w.pool)
 	w.shared.budget.Try()
+	w.contents = r.contents()
+	if refused := w.kept(refusal.RanNo); refused != nil {
+		return refused
+	}
 	switch route.Kind.(type) {
 	case ingress.Streaming:
 		return w.generate(ctx)
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -85,9 +85,6 @@
 		return refused
 	}
 	n.fingerprint = n.request.fingerprint()
-	if kept := n.gateway.crashes.kept(n.fingerprint, n.request.Arrived); kept > 0 {
-		return refusal.New(refusal.RanNo, refusal.Quarantined, 0, "the content crashed engines and is kept from them for %v", kept.Round(time.Second))
-	}
 	n.began = n.shared.returns.began(n.fingerprint, n.request.Arrived)
 	n.record.Spent = n.request.Arrived.Sub(n.began)
 	refused := n.rounds(ctx)
@@ -163,6 +160,10 @@
 	if !ok {
 		return n.unplaced(ctx)
 	}
+	if refused := n.kept(n.ran); refused != nil {
+		n.gateway.upstreams.FreeReservation(grant.Member, grant.Reservation)
+		return done{refused}
+	}
 	granted = time.Now()
 	tokens := n.record.Tokens
 	grant.Member.Begin(tokens)
@@ -177,6 +178,10 @@
 		n.gateway.upstreams.FreeReservation(grant.Member, grant.Reservation)
 		return prefilled
 	}
+	if refused := n.kept(n.ran); refused != nil {
+		n.giveBack(grant.Member, terms)
+		return done{refused}
+	}
 	if n.arrivals > 0 && !n.covers(1) {
 		n.giveBack(grant.Member, terms)
 		return n.retryOr("no retry is left for a decode")
@@ -293,6 +298,7 @@
 	terms.Terms = n.terms()
 	n.decoding = n.path()
 	n.sent(n.decoding)
+	try := n.try(m)
 	result := n.gateway.upstreams.Decode(decoding, m, n.request, terms)
 	if r, ok := result.(NotRun); !ok || r.Reason != Unreachable {
 		n.arrived()
@@ -303,7 +309,7 @@
 		n.ran = refusal.RanYes
 		n.runs++
 		defer r.Body.Release()
-		return n.answer(ctx, m, r, granted)
+		return n.answer(ctx, m, try, r, granted)
 	case NotRun:
 		if ctx.Err() == nil {
 			n.note(m, n.decoding, r.Reason, r.Err)
@@ -313,6 +319,7 @@
 	case Unknown:
 		n.ran = max(n.ran, refusal.RanUnknown)
 		n.runs++
+		n.unknown(ctx, try, m, r.Cut)
 		return n.lost(ctx, m, r.Err)
 	}
 	return again{}
@@ -349,9 +356,11 @@
 	n.record.Cause = err.Error()
 	n.broke(m, n.decoding, err)
 	n.gateway.failed(m, err)
-	n.gateway.crashes.broke(m, n.fingerprint, time.Now())
 	n.avoid = m.ID
 	kind, _ := n.route.Kind.(ingress.Streaming)
+	if refused := n.kept(n.ran); refused != nil {
+		return done{refused}
+	}
 	if !kind.Resumable || n.runs >= n.route.MaxAttempts || !n.covers(roundArrivals) {
 		return done{refusal.New(n.ran, refusal.UpstreamLost, 0, "decode engine %s broke off: %v", m.ID, err)}
 	}
@@ -368,6 +377,9 @@
 	}
 	m.Begin(0)
 	defer m.End(0)
+	if refused := n.kept(n.ran); refused != nil {
+		return done{refused}
+	}
 	n.record.Upstream = m.ID
 	return n.decode(ctx, m, DecodeTerms{After: n.after()}, time.Now())
 }
--- a/router/gateway/port.go
+++ b/router/gateway/port.go
@@ -34,6 +34,8 @@
 		Decode(ctx context.Context, m *upstream.Member, r *Request, t DecodeTerms) Result
 		// FreeReservation gives up reserved memory. It does not wait.
 		FreeReservation(m *upstream.Member, id string)
+		// Probe opens a connection to an upstream, which may be used later.
+		Probe(ctx context.Context, m *upstream.Member) error
 		// FreeCache gives up a prefilled KV cache. It does not wait.
 		FreeCache(m *upstream.Member, cache string)
 	}
@@ -90,7 +92,11 @@
 	}
 
 	// Unknown tells that the request was sent and nobody can say whether it runs.
-	Unknown struct{ Err error }
+	Unknown struct {
+		Err error
+		// Cut tells that the connection ended.
+		Cut bool
+	}
 
 	// NotRunReason is why an upstream did not run a request.
 	NotRunReason int
@@ -110,6 +116,8 @@
 	PrefillFailed struct {
 		Reason NotRunReason
 		Err    error
+		// Cut tells that the connection ended before the answer.
+		Cut bool
 	}
 )
 
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -39,6 +39,9 @@
 		if n.readsSooner(m) {
 			return nil, true
 		}
+		if refused := n.kept(n.ran); refused != nil {
+			return done{refused}, false
+		}
 		tried[m.ID] = true
 		cache, ok := n.prefillAt(ctx, m)
 		if ok {
@@ -62,6 +65,7 @@
 	terms := n.terms()
 	terms.Patience = n.prefillPatience(m)
 	defer func() { n.record.Prefill += time.Since(began) }()
+	try := n.try(m)
 	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, terms).(type) {
 	case Prefilled:
 		m.Succeeded(time.Since(began))
@@ -72,6 +76,9 @@
 		n.prefilled = true
 		return r.Cache, true
 	case PrefillFailed:
+		if r.Reason == NoAnswer {
+			n.unknown(ctx, try, m, r.Cut)
+		}
 		if ctx.Err() == nil {
 			n.note(m, PromptRead, r.Reason, r.Err)
 		}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/eventstream"
+	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/upstream"
 )
@@ -51,9 +52,9 @@
 }
 
 // answer passes an engine's answer on and decides what follows when it breaks off.
-func (n *generation) answer(ctx context.Context, m *upstream.Member, a Answer, granted time.Time) verdict {
+func (n *generation) answer(ctx context.Context, m *upstream.Member, t quarantine.Try, a Answer, granted time.Time) verdict {
 	if a.Status != http.StatusOK {
-		return n.engineFailure(ctx, m, a)
+		return n.engineFailure(ctx, m, t, a)
 	}
 	before := n.record.Events
 	began := time.Now()
@@ -67,23 +68,27 @@
 	switch {
 	case err == nil:
 		m.Succeeded(time.Since(began))
-		n.gateway.crashes.answered(n.fingerprint, time.Now())
+		n.answered(t)
 		return done{}
 	case errors.Is(err, errCaller):
+		n.unknown(ctx, t, m, false)
 		return done{refusal.New(refusal.RanYes, refusal.Cancelled, 0, "%v", err)}
 	}
+	n.unknown(ctx, t, m, !errors.Is(err, errGap) && !errors.Is(err, eventstream.ErrTooLong))
 	return n.lost(ctx, m, err)
 }
 
 // engineFailure passes an engine's own failure on, as it tells that the request ran.
-func (n *generation) engineFailure(ctx context.Context, m *upstream.Member, a Answer) verdict {
+func (n *generation) engineFailure(ctx context.Context, m *upstream.Member, t quarantine.Try, a Answer) verdict {
 	if n.relay.began {
 		return n.lost(ctx, m, eris.Wrapf(errRefused, "status %d", a.Status))
 	}
 	body, result := readWhole(a)
 	if u, broken := result.(Unknown); broken {
+		n.unknown(ctx, t, m, u.Cut)
 		return n.lost(ctx, m, u.Err)
 	}
+	n.answered(t)
 	return done{n.deliver(callResult{member: m, body: body}, a)}
 }
 
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -18,6 +18,8 @@
 		Target string
 		// Path is the decoded path, by which the route is found.
 		Path string
+		// Caller names who sent the request, in front of an Authorization field.
+		Caller string
 		// Header has the fields that concern more than one connection.
 		Header http.Header
 		Body   []byte
--- a/router/gateway/vigil.go
+++ b/router/gateway/vigil.go
@@ -7,6 +7,7 @@
 
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/refusal"
 )
 
 const (
@@ -94,7 +95,7 @@
 		v.mu.Unlock()
 		return
 	}
-	if !n.shared.budget.Reserve(roundArrivals) {
+	if n.kept(refusal.RanNo) != nil || !n.shared.budget.Reserve(roundArrivals) {
 		v.timer.Reset(v.limit)
 		v.mu.Unlock()
 		return
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/line"
+	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/upstream"
 )
@@ -23,6 +23,8 @@
 		shared  *pool
 		reply   Reply
 		record  *Record
+		// contents name what the request carries.
+		contents []quarantine.Content
 	}
 )
 
@@ -59,7 +61,7 @@
 // broke logs a send that gave no whole answer.
 func (w *work) broke(m *upstream.Member, p Path, err error) {
 	w.gateway.log.Error(err, event.SendBroke, "request", w.request.ID, "upstream", m.ID, "address", m.Address,
-		"path", p.String(), "content", contentName(w.request.fingerprint()), "took_ms", time.Since(w.request.Arrived).Milliseconds())
+		"path", p.String(), "content", w.contents[0].Name, "took_ms", time.Since(w.request.Arrived).Milliseconds())
 }
 
 func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
@@ -70,12 +72,11 @@
 		m.TurnedAway(time.Now())
 	case Replaced:
 		m.Replaced()
-		g.crashes.gone(m, time.Now())
+		g.UpstreamEnded(m.Upstream)
 		g.log.Info(event.UpstreamReplaced, "upstream", m.ID, "address", m.Address)
 	case Unreachable:
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			// Nothing listens: the upstream died. Behind a cut there is no answer at all.
-			g.crashes.gone(m, time.Now())
+		if refused(err) {
+			g.UpstreamEnded(m.Upstream)
 		}
 		g.ejected(m, m.Lost(time.Now()), err)
 	}
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -13,12 +14,24 @@
 const (
 	defaultTerm     = 10 * time.Minute
 	defaultCapacity = 1024
-	// crashesToQuarantine is the number of upstreams that one fingerprint may crash.
-	crashesToQuarantine = 2
+	// provenWeight and openWeight are what one upstream's end adds to the case against content: its
+	// end was seen, or only a connection that broke while the content ran.
+	provenWeight = 3
+	openWeight   = 2
+	// quarantineWeight is reached by two proven ends or three open ones.
+	quarantineWeight = 2 * provenWeight
+	// termGrowth times as long is content kept away for each end beyond those: content that keeps
+	// coming for a day gets three trials.
+	termGrowth = 6
+	maxTerm    = 24 * time.Hour
 	// maxCrashes bounds the crashes that one entry names.
 	maxCrashes = 8
 	// mergeTolerance keeps two tables from prolonging each other's entries.
 	mergeTolerance = time.Second
+
+	open    state = 1
+	proven  state = 2
+	cleared state = 3
 )
 
 type (
@@ -36,11 +49,24 @@
 	// Quarantined content is refused for the remaining time.
 	Quarantined struct{ Remaining time.Duration }
 
+	// Crash is the end of an upstream under a content.
+	Crash struct {
+		// Upstream names the incarnation that ended.
+		Upstream string
+		// Began is when the content was sent there. A try that began after the upstream's end was
+		// known speaks of another end.
+		Began time.Time
+		// Proven tells that the upstream ended; otherwise only its answer broke off.
+		Proven bool
+	}
+
 	// Suspect is an entry of a table, as processes tell it to each other. Crashes are
 	// named, so that two tables which know the same crash count it once.
 	Suspect struct {
 		Fingerprint string   `json:"fingerprint"`
 		Crashes     []string `json:"crashes"`
+		// Unproven are upstreams whose answers broke off, and that may live on.
+		Unproven []string `json:"unproven,omitempty"`
 		// Cleared are crashes that a whole answer has excused.
 		Cleared []string `json:"cleared,omitempty"`
 		// Remaining is the time until the entry is forgotten.
@@ -52,17 +78,27 @@
 		mu       sync.Mutex
 		term     time.Duration
 		capacity int
+		pardon   bool
 		entries  map[string]*entry
+		// crossed are the contents that became quarantined since they were asked for.
+		crossed []string
 	}
 
 	// Option changes a table's bounds.
 	Option func(*Table)
 
 	entry struct {
-		// crashes tells for each crash whether it counts or was cleared.
-		crashes map[string]bool
+		crashes map[string]evidence
 		expires time.Time
 	}
+
+	// evidence is one crash in the case against content.
+	evidence struct {
+		state   state
+		learned time.Time
+	}
+
+	state int
 )
 
 // NewTable returns an empty table.
@@ -84,6 +120,12 @@
 	return func(t *Table) { t.term = term }
 }
 
+// WithPardon lets a whole answer free quarantined content too: content that callers share may run
+// elsewhere while two of its upstreams end for another reason.
+func WithPardon() Option {
+	return func(t *Table) { t.pardon = true }
+}
+
 func (Free) verdict()        {}
 func (Suspected) verdict()   {}
 func (Quarantined) verdict() {}
@@ -104,7 +146,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f].count() == 0 })
+	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f].weight() == 0 })
 	if len(blamed) == 0 {
 		blamed = running
 	}
@@ -112,37 +154,97 @@
 		if fingerprint == "" {
 			continue
 		}
-		e := t.entry(fingerprint)
-		e.add(crash, true)
-		e.expires = now.Add(t.term)
+		t.blame(fingerprint, Crash{Upstream: crash, Proven: true}, now)
 	}
 }
 
+// Blame adds the end of an upstream to the case against content, and reports whether it was new.
+func (t *Table) Blame(fingerprint string, c Crash, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	return t.blame(fingerprint, c, now)
+}
+
+// BlameInTurn is Blame for content that many callers may send: it counts only what was sent after the
+// last crash of the content was known, as upstreams that end together say nothing of it.
+func (t *Table) BlameInTurn(fingerprint string, c Crash, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	if e, found := t.entries[fingerprint]; found {
+		for name, known := range e.crashes {
+			if known.state != cleared && name != c.Upstream && !known.learned.Before(c.Began) {
+				return false
+			}
+		}
+	}
+	return t.blame(fingerprint, c, now)
+}
+
+func (t *Table) blame(fingerprint string, c Crash, now time.Time) bool {
+	e := t.entry(fingerprint)
+	before := e.weight()
+	if !e.add(c, now) {
+		return false
+	}
+	e.expires = now.Add(e.term(t.term))
+	t.cross(fingerprint, before)
+	return true
+}
+
+// cross notes content that has become quarantined.
+func (t *Table) cross(fingerprint string, before int) {
+	if before < quarantineWeight && t.entries[fingerprint].weight() >= quarantineWeight && len(t.crossed) < t.capacity {
+		t.crossed = append(t.crossed, fingerprint)
+	}
+}
+
+// Crossed returns the contents that became quarantined since the last call.
+func (t *Table) Crossed() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crossed := t.crossed
+	t.crossed = nil
+	return crossed
+}
+
+// term is how long the content is kept away, or suspected.
+func (e *entry) term(first time.Duration) time.Duration {
+	term := first
+	for range (e.weight() - quarantineWeight) / provenWeight {
+		term = min(term*termGrowth, max(first, maxTerm))
+	}
+	return term
+}
+
 // Check tells whether content may run.
 func (t *Table) Check(fingerprint string, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[fingerprint]
 	switch {
-	case e.count() == 0 || now.After(e.expires):
+	case e.weight() == 0 || now.After(e.expires):
 		return Free{}
-	case e.count() < crashesToQuarantine:
+	case e.weight() < quarantineWeight:
 		return Suspected{}
 	}
 	return Quarantined{Remaining: e.expires.Sub(now)}
 }
 
-// Clear frees suspected content after a whole answer. Quarantined content stays so.
+// Clear frees suspected content after a whole answer. Quarantined content stays so, but with
+// WithPardon.
 func (t *Table) Clear(fingerprint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
 	e := t.entries[fingerprint]
-	if e == nil || e.count() >= crashesToQuarantine {
+	if e == nil || e.weight() >= quarantineWeight && !t.pardon {
 		return
 	}
-	for crash := range e.crashes {
-		e.crashes[crash] = false
+	for crash, known := range e.crashes {
+		known.state = cleared
+		e.crashes[crash] = known
 	}
 }
 
@@ -155,9 +257,12 @@
 	for fingerprint, e := range t.entries {
 		s := Suspect{Fingerprint: fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now)}
 		for _, crash := range slices.Sorted(maps.Keys(e.crashes)) {
-			if e.crashes[crash] {
+			switch e.crashes[crash].state {
+			case proven:
 				s.Crashes = append(s.Crashes, crash)
-			} else {
+			case open:
+				s.Unproven = append(s.Unproven, crash)
+			case cleared:
 				s.Cleared = append(s.Cleared, crash)
 			}
 		}
@@ -167,37 +272,58 @@
 	return list
 }
 
-// Latest returns the suspects that were reported last, in bounded number.
-func Latest(suspects []Suspect, most int) []Suspect {
-	latest := slices.SortedStableFunc(slices.Values(suspects), func(a, b Suspect) int { return cmp.Compare(b.Remaining, a.Remaining) })
-	return latest[:min(len(latest), most)]
+// Urgent returns the suspects that others must know first, in bounded number: those that are
+// quarantined, then those that were reported last.
+func Urgent(suspects []Suspect, most int) []Suspect {
+	urgent := slices.SortedStableFunc(slices.Values(suspects), func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(b.quarantined(), a.quarantined()), cmp.Compare(b.Remaining, a.Remaining))
+	})
+	return urgent[:min(len(urgent), most)]
+}
+
+// quarantined is 1 for content that is kept away, and 0 for other content.
+func (s Suspect) quarantined() int {
+	if provenWeight*len(s.Crashes)+openWeight*len(s.Unproven) < quarantineWeight {
+		return 0
+	}
+	return 1
 }
 
-// Merge adds what another table knows: all crashes of both count, unless one has cleared them.
-func (t *Table) Merge(suspects []Suspect, now time.Time) {
+// Merge adds what another table knows: all crashes of both count, unless one has cleared them. It
+// reports whether anything was new.
+func (t *Table) Merge(suspects []Suspect, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
+	news := false
 	for _, s := range suspects {
 		if s.Remaining <= 0 {
 			continue
 		}
 		e := t.entry(s.Fingerprint)
-		for _, crash := range s.Crashes {
-			e.add(crash, true)
-		}
-		for _, crash := range s.Cleared {
-			e.add(crash, false)
+		before := e.weight()
+		for told, names := range map[state][]string{open: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
+			for _, crash := range names {
+				news = e.set(crash, told, now) || news
+			}
 		}
+		t.cross(s.Fingerprint, before)
 		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
 			e.expires = expires
 		}
 	}
+	return news
 }
 
+// forget drops what is over. Content that was quarantined is remembered for another term, in which a
+// further crash quarantines it at once.
 func (t *Table) forget(now time.Time) {
 	for fingerprint, e := range t.entries {
-		if now.After(e.expires) {
+		kept := e.expires
+		if e.weight() >= quarantineWeight {
+			kept = kept.Add(t.term)
+		}
+		if now.After(kept) {
 			delete(t.entries, fingerprint)
 		}
 	}
@@ -218,28 +344,70 @@
 		}
 		delete(t.entries, first)
 	}
-	e := &entry{crashes: make(map[string]bool)}
+	e := &entry{crashes: make(map[string]evidence)}
 	t.entries[fingerprint] = e
 	return e
 }
 
-// add notes a crash; a cleared one stays cleared.
-func (e *entry) add(crash string, counts bool) {
-	known, found := e.crashes[crash]
-	if !found && len(e.crashes) >= maxCrashes {
-		return
+// add notes the end of an upstream, and reports whether it was new.
+func (e *entry) add(c Crash, now time.Time) bool {
+	told := open
+	if c.Proven {
+		told = proven
+	}
+	name := c.Upstream
+	for again := 1; ; again++ {
+		known, found := e.crashes[name]
+		// An end that was known when the try began was another one. What broke off only may break
+		// off again, and counts once.
+		another := known.learned.Before(c.Began) && known.state != open
+		if !found || !another {
+			return e.set(name, told, now)
+		}
+		name = c.Upstream + "+" + strconv.Itoa(again)
+	}
+}
+
+// set notes a crash under its name, and reports whether it was new. A later state replaces an earlier
+// one: what is cleared stays so.
+func (e *entry) set(name string, told state, now time.Time) bool {
+	known, found := e.crashes[name]
+	if known.state >= told || !found && len(e.crashes) >= maxCrashes && !e.makeRoom() {
+		return false
+	}
+	if !found {
+		known.learned = now
+	}
+	known.state = told
+	e.crashes[name] = known
+	return true
+}
+
+// makeRoom drops the earliest cleared crash, and reports whether there was one.
+func (e *entry) makeRoom() bool {
+	first := ""
+	for name, known := range e.crashes {
+		if known.state == cleared && (first == "" || known.learned.Before(e.crashes[first].learned)) {
+			first = name
+		}
 	}
-	e.crashes[crash] = counts && (known || !found)
+	delete(e.crashes, first)
+	return first != ""
 }
 
-func (e *entry) count() int {
+// weight is how much speaks against the content.
+func (e *entry) weight() int {
 	if e == nil {
 		return 0
 	}
 	total := 0
-	for _, counts := range e.crashes {
-		if counts {
-			total++
+	for _, known := range e.crashes {
+		switch known.state {
+		case proven:
+			total += provenWeight
+		case open:
+			total += openWeight
+		case cleared:
 		}
 	}
 	return total
--- /dev/null
+++ b/router/quarantine/watch.go
@@ -0,0 +1,159 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// tryMemory is how long a try without a whole answer waits for the proof that its upstream ended.
+	// The platform drops a silent upstream after three heartbeats of some 1.2 s, which lag by up to
+	// a second.
+	tryMemory = 6 * time.Second
+	// maxTries bounds the tries without a whole answer that are remembered for one upstream.
+	maxTries = 128
+	// maxTryTime is how long an upstream's end is remembered for tries that are still open. Callers
+	// wait for less.
+	maxTryTime = time.Minute
+)
+
+type (
+	// Content names what a request carries.
+	Content struct {
+		Name string
+		// Shared content may come from many callers at once.
+		Shared bool
+	}
+
+	// Watch follows the tries of contents at upstreams, and blames those under which an upstream
+	// ended. It is safe for concurrent use.
+	Watch struct {
+		table *Table
+
+		mu        sync.Mutex
+		upstreams map[string]*watched
+		swept     time.Time
+	}
+
+	// watched is what is known of one incarnation of an upstream.
+	watched struct {
+		// unanswered are the tries that ended without a whole answer.
+		unanswered []Try
+		// ended is when the upstream's end was seen; zero: it was not.
+		ended time.Time
+		last  time.Time
+	}
+
+	// Try is one send of a content to an incarnation of an upstream.
+	Try struct {
+		Upstream string
+		Contents []Content
+		Began    time.Time
+
+		over time.Time
+	}
+)
+
+// NewWatch returns a watch that reports to a table.
+func NewWatch(table *Table) *Watch {
+	return &Watch{table: table, upstreams: make(map[string]*watched)}
+}
+
+// Answered clears the contents of a try that got a whole answer.
+func (w *Watch) Answered(t Try, now time.Time) {
+	for _, c := range t.Contents {
+		w.table.Clear(c.Name, now)
+	}
+}
+
+// Broke records that the upstream's answer broke off, and reports whether anything new speaks against
+// the contents.
+func (w *Watch) Broke(t Try, now time.Time) bool {
+	return w.blame(t, w.unanswered(t, now), now)
+}
+
+// Abandoned records that nobody waits for the answer any more. That says nothing of the contents,
+// unless the upstream turns out to have ended.
+func (w *Watch) Abandoned(t Try, now time.Time) bool {
+	return w.unanswered(t, now) && w.blame(t, true, now)
+}
+
+// Ended records that an incarnation of an upstream has ended. It returns the contents that this newly
+// speaks against.
+func (w *Watch) Ended(upstream string, now time.Time) []string {
+	w.mu.Lock()
+	w.sweep(now)
+	u := w.upstream(upstream, now)
+	u.ended = now
+	tries := u.unanswered
+	u.unanswered = nil
+	w.mu.Unlock()
+	var blamed []string
+	for _, t := range tries {
+		if !w.blame(t, true, now) {
+			continue
+		}
+		for _, c := range t.Contents {
+			blamed = append(blamed, c.Name)
+		}
+	}
+	return blamed
+}
+
+// unanswered remembers a try without a whole answer, and reports whether its upstream is known to have
+// ended since the try began.
+func (w *Watch) unanswered(t Try, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sweep(now)
+	u := w.upstream(t.Upstream, now)
+	if u.ended.After(t.Began) {
+		return true
+	}
+	t.over = now
+	if len(u.unanswered) >= maxTries {
+		u.unanswered = u.unanswered[1:]
+	}
+	u.unanswered = append(u.unanswered, t)
+	return false
+}
+
+// upstream returns what is known of an upstream. The caller holds the lock.
+func (w *Watch) upstream(name string, now time.Time) *watched {
+	u, found := w.upstreams[name]
+	if !found {
+		u = &watched{}
+		w.upstreams[name] = u
+	}
+	u.last = now
+	return u
+}
+
+// sweep forgets what is too long ago. The caller holds the lock.
+func (w *Watch) sweep(now time.Time) {
+	if now.Sub(w.swept) < tryMemory/4 {
+		return
+	}
+	w.swept = now
+	for name, u := range w.upstreams {
+		for len(u.unanswered) > 0 && now.Sub(u.unanswered[0].over) > tryMemory {
+			u.unanswered = u.unanswered[1:]
+		}
+		if len(u.unanswered) == 0 && now.Sub(u.last) > maxTryTime {
+			delete(w.upstreams, name)
+		}
+	}
+}
+
+func (w *Watch) blame(t Try, proven bool, now time.Time) bool {
+	news := false
+	for _, c := range t.Contents {
+		crash := Crash{Upstream: t.Upstream, Began: t.Began, Proven: proven}
+		if c.Shared {
+			news = w.table.BlameInTurn(c.Name, crash, now) || news
+		} else {
+			news = w.table.Blame(c.Name, crash, now) || news
+		}
+	}
+	return news
+}
--- /dev/null
+++ b/router/quarantine/watch_test.go
@@ -0,0 +1,108 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/quarantine"
+)
+
+type (
+	// sent is a try of the killer: sent and over at some moments, in milliseconds.
+	sent struct {
+		upstream  string
+		from, to  int
+		broke     bool
+		answered  bool
+		abandoned bool
+	}
+
+	// end is the proof of an upstream's end.
+	end struct {
+		upstream string
+		at       int
+	}
+)
+
+func TestWatch(t *testing.T) {
+	broke := func(upstream string, from, to int) sent {
+		return sent{upstream: upstream, from: from, to: to, broke: true}
+	}
+	abandoned := func(upstream string, from, to int) sent {
+		return sent{upstream: upstream, from: from, to: to, abandoned: true}
+	}
+	free, suspected, kept := quarantine.Free{}, quarantine.Suspected{}, quarantine.Quarantined{}
+	tests := map[string]struct {
+		steps  []any
+		shared bool
+		want   quarantine.Verdict
+	}{
+		"nothing":                             {nil, false, free},
+		"one end":                             {[]any{broke("a", 0, 10), end{"a", 20}}, false, suspected},
+		"an end is told twice":                {[]any{broke("a", 0, 10), end{"a", 20}, end{"a", 30}}, false, suspected},
+		"two ends":                            {[]any{broke("a", 0, 10), end{"a", 20}, broke("b", 30, 40), end{"b", 50}}, false, kept},
+		"two ends at once":                    {[]any{broke("a", 0, 10), broke("b", 0, 10), end{"a", 20}, end{"b", 20}}, false, kept},
+		"two that live on":                    {[]any{broke("a", 0, 10), broke("b", 30, 40)}, false, suspected},
+		"three that live on":                  {[]any{broke("a", 0, 10), broke("b", 30, 40), broke("c", 50, 60)}, false, kept},
+		"one that breaks off again and again": {[]any{broke("a", 0, 10), broke("a", 30, 40), broke("a", 50, 60)}, false, suspected},
+		"one that ends again under its name":  {[]any{broke("a", 0, 10), end{"a", 20}, broke("a", 30, 40), end{"a", 50}}, false, kept},
+		"the end is known before the break":   {[]any{end{"a", 5}, broke("a", 0, 10), end{"b", 35}, broke("b", 30, 40)}, false, kept},
+		"an end long after":                   {[]any{broke("a", 0, 10), end{"a", 20}, abandoned("b", 30, 40), end{"b", 9000}}, false, suspected},
+		"silent until they ended":             {[]any{abandoned("a", 0, 10), end{"a", 4000}, abandoned("b", 4100, 5000), end{"b", 8000}}, false, kept},
+		"silent and alive":                    {[]any{abandoned("a", 0, 10), abandoned("b", 20, 30), abandoned("c", 40, 50)}, false, free},
+		"a whole answer in between":           {[]any{broke("a", 0, 10), end{"a", 20}, sent{upstream: "c", from: 21, to: 25, answered: true}, broke("b", 30, 40), end{"b", 50}}, false, suspected},
+		"a whole answer after all":            {[]any{broke("a", 0, 10), end{"a", 20}, broke("b", 0, 40), end{"b", 50}, sent{upstream: "c", from: 0, to: 60, answered: true}}, false, free},
+		"shared, ends at once":                {[]any{broke("a", 0, 10), broke("b", 0, 10), end{"a", 20}, end{"b", 20}}, true, suspected},
+		"shared, ends in turn":                {[]any{broke("a", 0, 10), end{"a", 20}, broke("b", 30, 40), end{"b", 50}}, true, kept},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began := time.Now()
+			at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+			table := quarantine.NewTable(quarantine.WithPardon())
+			w := quarantine.NewWatch(table)
+			last := began
+			for _, s := range tt.steps {
+				switch s := s.(type) {
+				case sent:
+					last = at(s.to)
+					try := quarantine.Try{Upstream: s.upstream, Contents: []quarantine.Content{{Name: killer, Shared: tt.shared}}, Began: at(s.from)}
+					switch {
+					case s.broke:
+						w.Broke(try, last)
+					case s.abandoned:
+						w.Abandoned(try, last)
+					case s.answered:
+						w.Answered(try, last)
+					}
+				case end:
+					last = at(s.at)
+					w.Ended(s.upstream, last)
+				}
+			}
+			got := table.Check(killer, last)
+			if _, ok := got.(quarantine.Quarantined); ok {
+				got = kept
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// Content that keeps coming runs at three upstreams a day at most beyond those that gave it away.
+func TestTrialsBecomeRare(t *testing.T) {
+	is := is.New(t)
+	table, began := quarantine.NewTable(), time.Now()
+	ran := 0
+	for now := began; now.Before(began.Add(24 * time.Hour)); now = now.Add(time.Second) {
+		if _, kept := table.Check(killer, now).(quarantine.Quarantined); kept {
+			continue
+		}
+		ran++
+		table.Blame(killer, quarantine.Crash{Upstream: "i-" + now.String(), Began: now, Proven: true}, now)
+	}
+	is.True(ran <= 2+3)
+}
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -24,19 +24,56 @@
 		away   bool
 		// settled is when entries missing after an outage are gone for good.
 		settled time.Time
+		// ended is told of each incarnation that is known to have ended.
+		ended func(Upstream)
 	}
+
+	// Option changes a directory.
+	Option func(*Directory)
 )
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	return &Directory{members: make(map[string]*Member), lapsed: make(map[string]time.Time)}
+func NewDirectory(opts ...Option) *Directory {
+	d := &Directory{members: make(map[string]*Member), lapsed: make(map[string]time.Time), ended: func(Upstream) {}}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// WithEnds sets what is told of each incarnation that is known to have ended: it is published no more, or
+// another one is published under its ID or address.
+func WithEnds(ended func(Upstream)) Option {
+	return func(d *Directory) { d.ended = ended }
 }
 
 // Put takes what an upstream published of itself. It reports whether the upstream is new.
 func (d *Directory) Put(u Upstream) bool {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.put(u)
+	earlier := d.earlier(u)
+	isNew := d.put(u)
+	d.mu.Unlock()
+	if isNew {
+		d.tell(earlier)
+	}
+	return isNew
+}
+
+// earlier returns the incarnations that a new one follows. The caller holds the lock.
+func (d *Directory) earlier(u Upstream) []Upstream {
+	var list []Upstream
+	for _, m := range d.members {
+		if m.ID == u.ID || m.Address == u.Address {
+			list = append(list, m.Upstream)
+		}
+	}
+	return list
+}
+
+func (d *Directory) tell(ended []Upstream) {
+	for _, u := range ended {
+		d.ended(u)
+	}
 }
 
 func (d *Directory) put(u Upstream) bool {
@@ -61,17 +98,26 @@
 // reports whether the upstream is gone now.
 func (d *Directory) Remove(id string, now time.Time) bool {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, found := d.members[id]; !found {
+	m, found := d.members[id]
+	if !found {
+		d.mu.Unlock()
 		return false
 	}
 	if d.away || now.Before(d.settled) {
 		d.lapse(id, now)
+		d.mu.Unlock()
 		return false
 	}
+	d.drop(id)
+	d.mu.Unlock()
+	d.ended(m.Upstream)
+	return true
+}
+
+// drop forgets a member. The caller holds the lock.
+func (d *Directory) drop(id string) {
 	delete(d.members, id)
 	delete(d.lapsed, id)
-	return true
 }
 
 func (d *Directory) lapse(id string, now time.Time) {
@@ -88,22 +134,27 @@
 // Replace takes the whole set.
 func (d *Directory) Replace(all []Upstream, now time.Time) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	var ended []Upstream
 	published := make(map[string]bool, len(all))
 	for _, u := range all {
 		published[u.ID] = true
-		d.put(u)
+		earlier := d.earlier(u)
+		if d.put(u) {
+			ended = append(ended, earlier...)
+		}
 	}
-	for id := range d.members {
+	for id, m := range d.members {
 		switch {
 		case published[id]:
 		case now.Before(d.settled):
 			d.lapse(id, now)
 		default:
-			delete(d.members, id)
-			delete(d.lapsed, id)
+			d.drop(id)
+			ended = append(ended, m.Upstream)
 		}
 	}
+	d.mu.Unlock()
+	d.tell(ended)
 }
 
 // Away records that the source can't be read.
@@ -127,13 +178,15 @@
 // Sweep drops the members whose grace is over.
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	var ended []Upstream
 	for id, until := range d.lapsed {
 		if !d.away && !now.Before(until) {
-			delete(d.members, id)
-			delete(d.lapsed, id)
+			ended = append(ended, d.members[id].Upstream)
+			d.drop(id)
 		}
 	}
+	d.mu.Unlock()
+	d.tell(ended)
 }
 
 // Ready returns the members of a pool and phase that may get new work, ordered by ID.
