Tell other entries at once of content that crashes servers, and ask for it at the start

Callers saw content that two servers had ended under end more of them at other entries, and at entries that had just started.

News travelled by one exchange a second with one other entry drawn at random, and an entry that starts anew asked one seed, which may be stale, and waited for a second.

Change: an entry that learns something new of a content tells eight others at once, three times 50 ms apart, and so does each that hears it first. An entry that starts asks all seeds until one answers. Such exchanges don't count towards the number of exchanges after which an entry takes those that it knows for the whole fleet, so the parts of the retries settle as before.

--- a/router/adapter/member/member_test.go
+++ b/router/adapter/member/member_test.go
@@ -20,7 +20,10 @@
 
 func (*topics) Tell(news *membership.News) { news.Ejected = []string{"i-2"} }
 
-func (s *topics) Hear(news membership.News) { s.News = news }
+func (s *topics) Hear(news membership.News) bool {
+	s.News = news
+	return false
+}
 
 func TestMeet(t *testing.T) {
 	is := is.New(t)
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +28,16 @@
 	settleRounds = 10
 	// leaveTargets is the number of entries that are told of a planned stop; they tell the others.
 	leaveTargets = 3
+	// spreadTargets is the number of entries that are told of urgent news at once. All of them tell as
+	// many others: some 600 entries hear in three to four steps.
+	spreadTargets = 8
+	// spreadRounds is how often an entry does so: some of those that it draws may be dead.
+	spreadRounds = 3
+	// spreadPause gathers the news of one crash, which several requests find.
+	spreadPause = 50 * time.Millisecond
+	// joinInterval and joinTime bound how an entry that has just started asks its seeds for news.
+	joinInterval = 250 * time.Millisecond
+	joinTime     = 5 * time.Second
 )
 
 var (
@@ -54,8 +65,8 @@
 	Topics interface {
 		// Tell adds what this entry found by itself, in bounded number.
 		Tell(news *News)
-		// Hear takes what another entry found.
-		Hear(news News)
+		// Hear takes what another entry found, and reports whether others should hear of it at once.
+		Hear(news News) bool
 	}
 
 	// Group is an entry's part in the fleet. It is safe for concurrent use.
@@ -66,6 +77,9 @@
 		assumed int
 		log     event.Log
 
+		// urgent is filled when there is news for all.
+		urgent chan struct{}
+
 		mu     sync.Mutex
 		table  *table
 		random *rand.Rand
@@ -95,6 +109,7 @@
 		assumed: 1,
 		log:     log,
 		table:   newTable(address, now.UnixMilli()),
+		urgent:  make(chan struct{}, 1),
 		random:  rand.New(rand.NewPCG(uint64(now.UnixNano()), 1)),
 	}
 	for _, opt := range opts {
@@ -120,11 +135,88 @@
 
 // Run meets one other entry after another until ctx ends.
 func (g *Group) Run(ctx context.Context) {
-	meet := func(time.Time) { g.exchange(ctx, g.partner()) }
+	go g.join(ctx)
+	go g.spread(ctx)
+	meet := func(time.Time) {
+		if g.exchange(ctx, g.partner()) {
+			g.mu.Lock()
+			g.rounds++
+			g.mu.Unlock()
+		}
+	}
 	meet(time.Now())
 	periodic.Do(ctx, interval, meet)
 }
 
+// join asks all seeds for news until one answers: an entry that starts anew knows nothing.
+func (g *Group) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	t := time.NewTicker(joinInterval)
+	defer t.Stop()
+	for len(g.seeds) > 0 && !g.exchangeAll(ctx, g.seeds) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// spread passes urgent news on until ctx ends.
+func (g *Group) spread(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.urgent:
+		}
+		for range spreadRounds {
+			go g.exchangeAll(ctx, g.targets())
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(spreadPause):
+			}
+		}
+	}
+}
+
+// targets draws the entries that are told of urgent news: those that were heard lately, and seeds where
+// there are few.
+func (g *Group) targets() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []string
+	for _, m := range g.table.members(time.Now()) {
+		if !m.Left && m.Silent < g.silence() {
+			list = append(list, m.Address)
+		}
+	}
+	g.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, s := range g.seeds {
+		if !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	return list[:min(len(list), spreadTargets)]
+}
+
+// exchangeAll meets several entries at once, and reports whether one answered.
+func (g *Group) exchangeAll(ctx context.Context, addresses []string) bool {
+	var met atomic.Bool
+	var all sync.WaitGroup
+	for _, address := range addresses {
+		all.Go(func() {
+			if g.exchange(ctx, address) {
+				met.Store(true)
+			}
+		})
+	}
+	all.Wait()
+	return met.Load()
+}
+
 // Meet takes the news of another entry and returns those of this one.
 func (g *Group) Meet(news News) News {
 	g.hear(news)
@@ -142,14 +234,22 @@
 }
 
 func (g *Group) hear(news News) {
-	if g.topics != nil {
-		g.topics.Hear(news)
+	if g.topics != nil && g.topics.Hear(news) {
+		g.Spread()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.merge(news.Members)
 }
 
+// Spread tells other entries at once what this one found.
+func (g *Group) Spread() {
+	select {
+	case g.urgent <- struct{}{}:
+	default: // Others are told already.
+	}
+}
+
 // Divisor is the number of entries among which the fleet's allowances are divided: all that may be
 // alive. An entry that has just started, or meets nobody, assumes a large fleet. One that is cut off
 // later keeps dividing by those that it knew.
@@ -217,9 +317,10 @@
 	return list
 }
 
-func (g *Group) exchange(ctx context.Context, address string) {
+// exchange meets one entry and reports whether it answered.
+func (g *Group) exchange(ctx context.Context, address string) bool {
 	if address == "" {
-		return
+		return false
 	}
 	g.mu.Lock()
 	g.table.self.Beat++
@@ -228,15 +329,13 @@
 	defer cancel()
 	news, err := g.peers.Meet(ctx, address, g.tell())
 	if err == nil {
-		g.mu.Lock()
-		g.rounds++
-		g.mu.Unlock()
 		g.hear(news)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// A failed exchange shows as the member's silence, also here.
 	g.notice(err)
+	return err == nil
 }
 
 // merge takes what another entry knows. The caller holds the lock.
--- a/router/membership/network_test.go
+++ b/router/membership/network_test.go
@@ -89,13 +89,15 @@
 }
 
 // Meet implements membership.Peers.
-func (l link) Meet(_ context.Context, to string, news membership.News) (membership.News, error) {
+func (l link) Meet(ctx context.Context, to string, news membership.News) (membership.News, error) {
 	l.mu.Lock()
 	p, found := l.running[to]
 	cut := l.cut[l.from] || l.cut[to]
 	l.largest = max(l.largest, len(news.Members))
 	l.mu.Unlock()
 	if !found || cut {
+		// Nobody refuses the connection.
+		<-ctx.Done()
 		return membership.News{}, errors.New("no answer")
 	}
 	return p.Meet(news), nil
