Leave servers that send bytes without end

What callers would see: a failing server whose head or body never ends fills the memory of the entry, the process is killed, and all its callers lose their answers (and with them goes what it knew of content that crashes servers).

Cause: heads were read by net/http without a bound, answers to earlier requests were skipped to their end, refused reservations and freed memory were read to their end with no bound in time, each plain answer could take 8 MB however many were read at once, events without a number were passed on for ever, and the answer of a stale seed's new owner was read whole.

What ends this way says nothing of the content, as its server lives.

TestEndlessBytesAreLeft: 11 of 14 cases failed before, with 44 MB to 5.0 GB sent within 3 s; 14 pass, with 5.2 MB at most, which are buffers of the kernel. TestEndlessAnswersShareABound, TestEndlessStreamsBreakOff (3 of 5 cases) and TestEndlessAnswerOfAStranger fail without the change.

--- a/router/adapter/member/member.go
+++ b/router/adapter/member/member.go
@@ -13,12 +13,23 @@
 	"gooseberrypin.example/router/membership"
 )
 
+const (
+	// maxAnswerBytes bounds the answer of an entry, which takes some 7 KB. A stale address may belong to
+	// anybody by now.
+	maxAnswerBytes = 64 << 10
+)
+
 type (
 	// Client implements membership.Peers.
 	Client struct {
 		client *http.Client
 	}
 
+	// boundedTransport fails on the bodies of answers beyond maxAnswerBytes.
+	boundedTransport struct {
+		http.RoundTripper
+	}
+
 	// Server implements the service Members.
 	Server struct {
 		group *membership.Group
@@ -27,7 +38,22 @@
 
 // NewClient returns a client that calls entries by their address.
 func NewClient(client *http.Client) *Client {
-	return &Client{client: client}
+	bounded := *client
+	if bounded.Transport == nil {
+		bounded.Transport = http.DefaultTransport
+	}
+	bounded.Transport = boundedTransport{bounded.Transport}
+	return &Client{client: &bounded}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, err := b.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	a.Body = http.MaxBytesReader(nil, a.Body, maxAnswerBytes)
+	return a, nil
 }
 
 // NewHandler returns the handler of the service Members.
--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -34,9 +34,9 @@
 	for i := range 32 {
 		news.Ejected = append(news.Ejected, fmt.Sprintf("i-%010x", i))
 	}
-	for i := range 16 {
+	for i := range 32 {
 		news.Suspects = append(news.Suspects, quarantine.Suspect{
-			Fingerprint: strings.Repeat("f", 16), Crashes: []string{fmt.Sprintf("i-%010x", i), "i-0123456789"}, Remaining: 10 * time.Minute,
+			Fingerprint: strings.Repeat("f", 16), Crashes: []string{fmt.Sprintf("i-%010x@1790000000123", i), "i-0123456789@1790000000123"}, Remaining: 10 * time.Minute,
 		})
 	}
 	return news
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -25,10 +25,16 @@
 	keepAliveMargin = time.Second
 	// maxInterim bounds the 1xx answers before the final one.
 	maxInterim = 5
+	// maxHeadBytes bounds what is read until the head of an answer is whole, answers to earlier requests
+	// included. Callers of an entry may send heads of that size.
+	maxHeadBytes = 256 << 10
+	// unbounded lets a body be read, which its reader bounds.
+	unbounded = -1
 )
 
 var (
 	errInterim = eris.New("too many interim answers")
+	errEndless = eris.New("the head of the answer has no end")
 )
 
 type (
@@ -40,9 +46,24 @@
 		// expires is when an idle connection is no longer used; zero: unknown.
 		expires time.Time
 		written atomic.Int64
+		// allowed is the number of bytes that may still be read.
+		allowed int
 	}
 )
 
+// Read reads what is allowed.
+func (k *conn) Read(p []byte) (int, error) {
+	if k.allowed == unbounded {
+		return k.Conn.Read(p)
+	}
+	if k.allowed == 0 {
+		return 0, errEndless
+	}
+	n, err := k.Conn.Read(p[:min(len(p), k.allowed)])
+	k.allowed -= n
+	return n, err
+}
+
 // Write counts what was handed to the connection.
 func (k *conn) Write(p []byte) (int, error) {
 	n, err := k.Conn.Write(p)
@@ -74,6 +95,7 @@
 			return nil, eris.Wrap(err, "read deadline")
 		}
 	}
+	k.allowed = maxHeadBytes
 	for range maxStrays + 1 {
 		response, err := k.final(r.HTTP)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -83,6 +105,7 @@
 			return nil, err
 		}
 		if r.Answers == nil || r.Answers(response) {
+			k.allowed = unbounded
 			return response, k.SetReadDeadline(time.Time{})
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -175,7 +198,9 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+		k := &conn{Conn: c, address: address, allowed: maxHeadBytes}
+		k.reader = bufio.NewReaderSize(k, readBuffer)
+		return k, nil
 	}
 }
 
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -101,12 +101,22 @@
 		if k.sent() == 0 {
 			return NotSent{Err: eris.Wrap(errors.Join(err, failed), "upstream")}
 		}
-		cut := ctx.Err() == nil && !errors.Is(err, ErrSilent) && !errors.Is(err, errStrays) && !errors.Is(err, errInterim)
-		return Lost{Err: eris.Wrap(err, "upstream"), Cut: cut}
+		return Lost{Err: eris.Wrap(err, "upstream"), Cut: ctx.Err() == nil && ended(err)}
 	}
 	return Answered{Response: response, Body: c.attach(k, response, stop, written)}
 }
 
+// ended reports whether an error tells that the connection ended; otherwise its peer sent what is no
+// answer, or nothing in time.
+func ended(err error) bool {
+	for _, given := range []error{ErrSilent, errStrays, errInterim, errEndless} {
+		if errors.Is(err, given) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Client) connection(ctx context.Context, r Request) (*conn, error) {
 	if k := c.idle.take(r.Address, time.Now()); k != nil {
 		return k, nil
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
@@ -15,18 +12,12 @@
 )
 
 const (
-	// maxCallBody bounds the answer of a plain service, which is read whole before it is passed on.
-	maxCallBody = 8 << 20
 	// maxNotRun bounds the upstreams that may turn one request away.
 	maxNotRun = 3
 	// fullRetry is when a caller comes back to a pool whose upstreams are all full.
 	fullRetry = 300 * time.Millisecond
 )
 
-var (
-	errTooLong = eris.New("the answer is too long")
-)
-
 type (
 	// callResult is what one send to a plain service came to.
 	callResult struct {
@@ -129,7 +120,7 @@
 		began := time.Now()
 		c := callResult{member: m, path: p, try: w.try(m), result: w.gateway.upstreams.Call(ctx, m, w.request, w.terms())}
 		if a, ok := c.result.(Answer); ok {
-			c.body, c.result = readWhole(a)
+			c.body, c.result = w.gateway.readWhole(a)
 		}
 		c.took = time.Since(began)
 		w.learn(ctx, c)
@@ -138,19 +129,6 @@
 	return true
 }
 
-// readWhole reads the body of an answer. One that breaks off leaves open what ran.
-func readWhole(a Answer) ([]byte, Result) {
-	defer a.Body.Release()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxCallBody+1))
-	switch {
-	case err != nil:
-		return nil, Unknown{Err: eris.Wrap(err, "answer broke off"), Cut: true}
-	case len(body) > maxCallBody:
-		return nil, Unknown{Err: errTooLong}
-	}
-	return body, a
-}
-
 // learn keeps what a send told of its upstream. A send that the caller ended tells nothing.
 func (w *work) learn(ctx context.Context, c callResult) {
 	w.judge(ctx, c)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -29,6 +29,8 @@
 	noUpstreamRetry = time.Second
 	// noConfigurationRetry is when a caller comes back to an entry that has just started.
 	noConfigurationRetry = 500 * time.Millisecond
+	// defaultAnswerBytes is what all answers of plain services that are being read may take together.
+	defaultAnswerBytes = 32 << 20
 	// leavingRetry is when a caller comes back from an entry that stops: others are there.
 	leavingRetry = 10 * time.Millisecond
 )
@@ -47,6 +49,7 @@
 		entries    func() int
 		crashes    *crashes
 		news       func()
+		answers    allowance
 
 		mu      sync.Mutex
 		random  *rand.Rand
@@ -87,6 +90,7 @@
 		retryBurst: defaultRetryBurst,
 		entries:    func() int { return 1 },
 		news:       func() {},
+		answers:    allowance{most: defaultAnswerBytes},
 		random:     rand.New(rand.NewPCG(1, 1)),
 		pools:      make(map[string]*pool),
 	}
@@ -127,6 +131,11 @@
 	return func(g *Gateway) { g.entries = entries }
 }
 
+// WithAnswerBytes bounds the memory of the answers that are being read.
+func WithAnswerBytes(bytes int64) Option {
+	return func(g *Gateway) { g.answers.most = bytes }
+}
+
 // WithNews sets what is called when other entries should hear soon of content that crashes upstreams.
 func WithNews(tell func()) Option {
 	return func(g *Gateway) { g.news = tell }
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -20,6 +20,13 @@
 	errGap     = eris.New("the stream skipped an event")
 	errCaller  = eris.New("the caller left")
 	errRefused = eris.New("the engine failed")
+	errNoEvent = eris.New("the stream has no numbered events")
+)
+
+const (
+	// maxUnnumbered bounds the events without a number in a row: comments that keep a connection
+	// alive, of which engines send few.
+	maxUnnumbered = 16
 )
 
 type (
@@ -33,6 +40,8 @@
 		first   time.Time
 		// latest is when the last event was passed on.
 		latest time.Time
+		// unnumbered counts the events without a number since the last one with it.
+		unnumbered int
 	}
 )
 
@@ -74,7 +83,7 @@
 		n.unknown(ctx, t, m, false)
 		return done{refusal.New(refusal.RanYes, refusal.Cancelled, 0, "%v", err)}
 	}
-	n.unknown(ctx, t, m, !errors.Is(err, errGap) && !errors.Is(err, eventstream.ErrTooLong))
+	n.unknown(ctx, t, m, ended(err))
 	return n.lost(ctx, m, err)
 }
 
@@ -83,7 +92,7 @@
 	if n.relay.began {
 		return n.lost(ctx, m, eris.Wrapf(errRefused, "status %d", a.Status))
 	}
-	body, result := readWhole(a)
+	body, result := n.gateway.readWhole(a)
 	if u, broken := result.(Unknown); broken {
 		n.unknown(ctx, t, m, u.Cut)
 		return n.lost(ctx, m, u.Err)
@@ -115,9 +124,20 @@
 	}
 }
 
+// ended reports whether an error tells that the engine's connection ended; otherwise it sent what is no
+// stream of the request.
+func ended(err error) bool {
+	return !errors.Is(err, errGap) && !errors.Is(err, errNoEvent) && !errors.Is(err, eventstream.ErrTooLong)
+}
+
 // event passes one event on, unless the caller has it already.
 func (r *relay) event(ctx context.Context, e eventstream.Event) error {
+	r.unnumbered++
+	if r.unnumbered > maxUnnumbered {
+		return errNoEvent
+	}
 	if e.HasID {
+		r.unnumbered = 0
 		switch {
 		case r.hasLast && e.ID <= r.lastID:
 			return nil
