Tell all suspects of a crash, and keep quarantined content in a full table

Callers would see content end a server at each entry: an engine that ends under 64 requests leaves 128 names, of which other entries were told the 32 that come first. Two entries that each saw one end never put them together, so each learned by two ends of its own. Besides, the names of four such ends pushed quarantined content out of the table of 1,024.

Suspects make room before quarantined content, and the table holds 4,096.

TestSuspectsOfBusyUpstreamsAreToldWhole and TestQuarantinedContentStaysInAFullTable failed before and pass now.

--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -49,6 +49,18 @@
 	is.True(messages*size < controlBytes)
 }
 
+// After a crash, all that ran at two busy upstreams is told at once.
+func TestUrgentNewsFitAnExchange(t *testing.T) {
+	is := is.New(t)
+	news := most()
+	for i := range 512 {
+		news.Suspects = append(news.Suspects, quarantine.Suspect{
+			Fingerprint: fmt.Sprintf("%016x", i), Crashes: []string{"i-0123456789@1790000000123"}, Remaining: 10 * time.Minute,
+		})
+	}
+	is.True(proto.Size(toMessage(news)) < maxAnswerBytes)
+}
+
 // BenchmarkExchange is one exchange in a fleet of the target's size, both sides and HTTP included.
 func BenchmarkExchange(b *testing.B) {
 	group := membership.NewGroup("10.1.0.1:8144", nil, nil, event.Discard())
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -19,6 +19,9 @@
 const (
 	// maxSuspectsTold bounds the suspects that other entries are told of at once.
 	maxSuspectsTold = 32
+	// maxSuspects bounds the contents that are remembered: two names of each request that ran at one of
+	// thirty busy engines which ended.
+	maxSuspects = 4096
 )
 
 var (
@@ -44,7 +47,7 @@
 )
 
 func newCrashes(log event.Log, told func()) *crashes {
-	table := quarantine.NewTable(quarantine.WithPardon())
+	table := quarantine.NewTable(quarantine.WithPardon(), quarantine.WithCapacity(maxSuspects))
 	return &crashes{table: table, watch: quarantine.NewWatch(table), log: log, told: told, probed: make(map[string]bool)}
 }
 
@@ -185,7 +188,7 @@
 
 // Suspects returns the contents that crashed upstreams, the most urgent first, in bounded number.
 func (g *Gateway) Suspects(now time.Time) []quarantine.Suspect {
-	return quarantine.Urgent(g.crashes.table.Suspects(now), maxSuspectsTold)
+	return quarantine.Urgent(g.crashes.table.Suspects(now), now, maxSuspectsTold)
 }
 
 // HearSuspects takes what another entry knows of contents that crashed upstreams, and reports whether
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -28,6 +28,11 @@
 	maxCrashes = 8
 	// mergeTolerance keeps two tables from prolonging each other's entries.
 	mergeTolerance = time.Second
+	// freshFor is how long a suspect is told beside the urgent ones after a change: other processes
+	// meet some times meanwhile.
+	freshFor = 3 * time.Second
+	// maxFresh bounds those: the contents of two busy upstreams that end together.
+	maxFresh = 512
 
 	open    state = 1
 	proven  state = 2
@@ -71,6 +76,8 @@
 		Cleared []string `json:"cleared,omitempty"`
 		// Remaining is the time until the entry is forgotten.
 		Remaining time.Duration `json:"remaining_ns"`
+		// Changed is when this process learned something new of it.
+		Changed time.Time `json:"changed"`
 	}
 
 	// Table holds the suspects that a process knows, in bounded number.
@@ -90,6 +97,7 @@
 	entry struct {
 		crashes map[string]evidence
 		expires time.Time
+		changed time.Time
 	}
 
 	// evidence is one crash in the case against content.
@@ -188,7 +196,7 @@
 	if !e.add(c, now) {
 		return false
 	}
-	e.expires = now.Add(e.term(t.term))
+	e.expires, e.changed = now.Add(e.term(t.term)), now
 	t.cross(fingerprint, before)
 	return true
 }
@@ -255,7 +263,7 @@
 	t.forget(now)
 	list := make([]Suspect, 0, len(t.entries))
 	for fingerprint, e := range t.entries {
-		s := Suspect{Fingerprint: fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now)}
+		s := Suspect{Fingerprint: fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now), Changed: e.changed}
 		for _, crash := range slices.Sorted(maps.Keys(e.crashes)) {
 			switch e.crashes[crash].state {
 			case proven:
@@ -272,13 +280,19 @@
 	return list
 }
 
-// Urgent returns the suspects that others must know first, in bounded number: those that are
-// quarantined, then those that were reported last.
-func Urgent(suspects []Suspect, most int) []Suspect {
+// Urgent returns the suspects that others must know first: a number of those that are quarantined, then
+// of those that were reported last; and in bounded number all that have just changed.
+func Urgent(suspects []Suspect, now time.Time, most int) []Suspect {
 	urgent := slices.SortedStableFunc(slices.Values(suspects), func(a, b Suspect) int {
 		return cmp.Or(cmp.Compare(b.quarantined(), a.quarantined()), cmp.Compare(b.Remaining, a.Remaining))
 	})
-	return urgent[:min(len(urgent), most)]
+	told := urgent[:min(len(urgent), most)]
+	for _, s := range urgent[len(told):] {
+		if now.Sub(s.Changed) < freshFor && len(told) < maxFresh {
+			told = append(told, s)
+		}
+	}
+	return told
 }
 
 // quarantined is 1 for content that is kept away, and 0 for other content.
@@ -295,24 +309,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	news := false
+	anything := false
 	for _, s := range suspects {
 		if s.Remaining <= 0 {
 			continue
 		}
 		e := t.entry(s.Fingerprint)
-		before := e.weight()
+		before, news := e.weight(), false
 		for told, names := range map[state][]string{open: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
 			for _, crash := range names {
 				news = e.set(crash, told, now) || news
 			}
 		}
 		t.cross(s.Fingerprint, before)
+		if news {
+			e.changed, anything = now, true
+		}
 		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
 			e.expires = expires
 		}
 	}
-	return news
+	return anything
 }
 
 // forget drops what is over. Content that was quarantined is remembered for another term, in which a
@@ -338,7 +355,7 @@
 	if len(t.entries) >= t.capacity {
 		first := ""
 		for f, other := range t.entries {
-			if first == "" || other.expires.Before(t.entries[first].expires) {
+			if first == "" || other.before(t.entries[first]) {
 				first = f
 			}
 		}
@@ -349,6 +366,15 @@
 	return e
 }
 
+// before reports whether an entry makes room before another one: suspects before quarantined content,
+// then what ends first.
+func (e *entry) before(other *entry) bool {
+	if kept, otherKept := e.weight() >= quarantineWeight, other.weight() >= quarantineWeight; kept != otherKept {
+		return otherKept
+	}
+	return e.expires.Before(other.expires)
+}
+
 // add notes the end of an upstream, and reports whether it was new.
 func (e *entry) add(c Crash, now time.Time) bool {
 	told := open
--- a/router/quarantine/watch_test.go
+++ b/router/quarantine/watch_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,49 @@
 	}
 	is.True(ran <= 2+3)
 }
+
+// busy returns a table after an upstream ended under many contents, the killer among them.
+func busy(upstream string, contents int, now time.Time) *quarantine.Table {
+	table := quarantine.NewTable()
+	w := quarantine.NewWatch(table)
+	for n := range contents {
+		name := fmt.Sprintf("%s-%d", upstream, n)
+		if n == contents/2 {
+			name = killer
+		}
+		w.Broke(quarantine.Try{Upstream: upstream, Contents: []quarantine.Content{{Name: name}}, Began: now.Add(-time.Second)}, now)
+	}
+	w.Ended(upstream, now)
+	return table
+}
+
+// An upstream that ends under many requests leaves as many suspects: what two processes found apart
+// counts together.
+func TestSuspectsOfBusyUpstreamsAreToldWhole(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tables := []*quarantine.Table{busy("a", 128, now), busy("b", 128, now)}
+	for i, table := range tables {
+		table.Merge(quarantine.Urgent(tables[1-i].Suspects(now), now, 32), now)
+	}
+	for _, table := range tables {
+		_, kept := table.Check(killer, now).(quarantine.Quarantined)
+		is.True(kept)
+	}
+}
+
+// Suspects of later crashes don't push quarantined content out of a full table.
+func TestQuarantinedContentStaysInAFullTable(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.NewTable(quarantine.WithCapacity(100))
+	table.Report([]string{killer}, "a", now)
+	table.Report([]string{killer}, "b", now)
+	for n := range 1000 {
+		later := now.Add(time.Duration(n) * time.Millisecond)
+		table.Report([]string{fmt.Sprintf("innocent-%d", n)}, fmt.Sprintf("c-%d", n/64), later)
+	}
+	_, kept := table.Check(killer, now.Add(time.Second)).(quarantine.Quarantined)
+	is.True(kept)
+	is.Equal(len(table.Suspects(now.Add(time.Second))), 100)
+}
