Ask silent upstreams for a connection, and blame nobody for streams that are left

Callers would see content that silences servers go on, as a send whose time ran out said nothing unless the platform's list told of an end within 6 s; and content of silent resumable streams was suspected of breaking off although this process had left the stream.

Cause: only a connection that ended by itself led to the question whether the upstream is still there, and the end of a decode that the vigil ended looked like one.

Change: an upstream whose answer did not come in time is asked for a connection too. One that takes none in time speaks against what was not answered there, like a broken answer (three upstreams, no proof). A stream that was left counts as given up.

TestSilentUpstreamIsAskedForAConnection/ended, TestStreamThatIsLeftBlamesNobody and three cases of TestWatch failed before.

--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -96,16 +96,23 @@
 	return nil
 }
 
-// unknown records a send without a whole answer. If the connection ended by itself, it looks whether the
-// upstream is still there.
+// unknown records a send without a whole answer. If the connection ended by itself, or nothing came for
+// long, it looks whether the upstream is still there.
 func (w *work) unknown(ctx context.Context, t quarantine.Try, m *upstream.Member, cut bool) {
-	g := w.gateway
-	if !cut || ctx.Err() != nil {
-		g.crashes.changed(g.crashes.watch.Abandoned(t, time.Now()))
+	if cut && ctx.Err() == nil {
+		w.gateway.crashes.changed(w.gateway.crashes.watch.Broke(t, time.Now()))
+		w.gateway.probe(m)
 		return
 	}
-	g.crashes.changed(g.crashes.watch.Broke(t, time.Now()))
-	g.probe(m)
+	w.abandoned(t)
+	if w.left() <= 0 || time.Since(t.Began) >= w.route.Target {
+		w.gateway.probe(m)
+	}
+}
+
+// abandoned records a send whose answer nobody waits for any more.
+func (w *work) abandoned(t quarantine.Try) {
+	w.gateway.crashes.changed(w.gateway.crashes.watch.Abandoned(t, time.Now()))
 }
 
 func (w *work) answered(t quarantine.Try) {
@@ -153,6 +160,12 @@
 	delete(s.probed, id)
 }
 
+// timedOut reports whether a connection was not taken in time.
+func timedOut(err error) bool {
+	var limit interface{ Timeout() bool }
+	return errors.As(err, &limit) && limit.Timeout()
+}
+
 // refused reports whether a connection was refused: nothing listens, so the process ended. Behind a cut
 // there is no answer at all.
 func refused(err error) bool {
--- a/router/gateway/crash_test.go
+++ b/router/gateway/crash_test.go
@@ -168,3 +168,45 @@
 		synctest.Wait()
 	})
 }
+
+// An upstream that is silent until its caller's time is up is asked for a connection: it may have ended.
+func TestSilentUpstreamIsAskedForAConnection(t *testing.T) {
+	tests := map[string]struct {
+		gone map[string]bool
+		want string
+	}{
+		"ended":     {map[string]bool{"d1": true, "d2": true}, "quarantined/no"},
+		"lives on":  {nil, "deadline/unknown"},
+		"one ended": {map[string]bool{"d1": true}, "deadline/unknown"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fake{steps: both(step{after: time.Hour}), gone: tt.gone}
+				g := world(t, f, ingress.NonIdempotent{})
+				for range 3 {
+					g.Serve(t.Context(), request(), &reply{})
+					time.Sleep(time.Second)
+				}
+				is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), tt.want)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A silent stream that this process leaves for another engine speaks against nobody.
+func TestStreamThatIsLeftBlamesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{}
+		g := world(t, f, ingress.Streaming{Resumable: true, MaxGap: 50 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+		earn(t, g, 20)
+		f.reset(engines(step{events: []int{1, 2}, pause: time.Hour}))
+		is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "deadline/yes")
+		is.Equal(len(f.sends()), 4) // two prefills and two decodes
+		is.Equal(len(g.Suspects(time.Now())), 0)
+		synctest.Wait()
+	})
+}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -80,10 +80,10 @@
 		n.answered(t)
 		return done{}
 	case errors.Is(err, errCaller):
-		n.unknown(ctx, t, m, false)
+		n.abandoned(t)
 		return done{refusal.New(refusal.RanYes, refusal.Cancelled, 0, "%v", err)}
 	}
-	n.unknown(ctx, t, m, ended(err))
+	n.unknown(ctx, t, m, ended(err) && !n.vigil.left())
 	return n.lost(ctx, m, err)
 }
 
--- a/router/gateway/vigil.go
+++ b/router/gateway/vigil.go
@@ -69,6 +69,16 @@
 	v.timer.Reset(v.limit)
 }
 
+// left reports whether the decode was ended for memory elsewhere.
+func (v *vigil) left() bool {
+	if v == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.found != nil
+}
+
 // end ends the vigil and returns what it holds for going on: memory at another engine, or nil, and
 // retries.
 func (v *vigil) end() (*line.Grant, int) {
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -75,8 +75,11 @@
 		g.UpstreamEnded(m.Upstream)
 		g.log.Info(event.UpstreamReplaced, "upstream", m.ID, "address", m.Address)
 	case Unreachable:
-		if refused(err) {
+		switch {
+		case refused(err):
 			g.UpstreamEnded(m.Upstream)
+		case timedOut(err):
+			g.crashes.changed(g.crashes.watch.Unreachable(incarnation(m.Upstream), time.Now()))
 		}
 		g.ejected(m, m.Lost(time.Now()), err)
 	}
--- a/router/quarantine/watch.go
+++ b/router/quarantine/watch.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -100,6 +101,24 @@
 	return blamed
 }
 
+// Unreachable records that an upstream took no connection in time: it went dark, or a link did. What was
+// not answered there counts as broken off, until there is proof. It reports whether anything new
+// speaks against a content.
+func (w *Watch) Unreachable(upstream string, now time.Time) bool {
+	w.mu.Lock()
+	w.sweep(now)
+	var tries []Try
+	if u, found := w.upstreams[upstream]; found {
+		tries = slices.Clone(u.unanswered)
+	}
+	w.mu.Unlock()
+	news := false
+	for _, t := range tries {
+		news = w.blame(t, false, now) || news
+	}
+	return news
+}
+
 // unanswered remembers a try without a whole answer, and reports whether its upstream is known to have
 // ended since the try began.
 func (w *Watch) unanswered(t Try, now time.Time) bool {
--- a/router/quarantine/watch_test.go
+++ b/router/quarantine/watch_test.go
@@ -20,6 +20,12 @@
 		abandoned bool
 	}
 
+	// lost is a connection that an upstream did not take in time.
+	lost struct {
+		upstream string
+		at       int
+	}
+
 	// end is the proof of an upstream's end.
 	end struct {
 		upstream string
@@ -55,6 +61,9 @@
 		"silent and alive":                    {[]any{abandoned("a", 0, 10), abandoned("b", 20, 30), abandoned("c", 40, 50)}, false, free},
 		"a whole answer in between":           {[]any{broke("a", 0, 10), end{"a", 20}, sent{upstream: "c", from: 21, to: 25, answered: true}, broke("b", 30, 40), end{"b", 50}}, false, suspected},
 		"a whole answer after all":            {[]any{broke("a", 0, 10), end{"a", 20}, broke("b", 0, 40), end{"b", 50}, sent{upstream: "c", from: 0, to: 60, answered: true}}, false, free},
+		"silent, then out of reach":           {[]any{abandoned("a", 0, 10), lost{"a", 20}, abandoned("b", 30, 40), lost{"b", 50}, abandoned("c", 60, 70), lost{"c", 80}}, false, kept},
+		"out of reach, then ended":            {[]any{abandoned("a", 0, 10), lost{"a", 20}, end{"a", 30}, abandoned("b", 40, 50), end{"b", 60}}, false, kept},
+		"out of reach twice":                  {[]any{abandoned("a", 0, 10), lost{"a", 20}, lost{"a", 30}, abandoned("b", 40, 50), lost{"b", 60}}, false, suspected},
 		"shared, ends at once":                {[]any{broke("a", 0, 10), broke("b", 0, 10), end{"a", 20}, end{"b", 20}}, true, suspected},
 		"shared, ends in turn":                {[]any{broke("a", 0, 10), end{"a", 20}, broke("b", 30, 40), end{"b", 50}}, true, kept},
 	}
@@ -79,6 +88,9 @@
 					case s.answered:
 						w.Answered(try, last)
 					}
+				case lost:
+					last = at(s.at)
+					w.Unreachable(s.upstream, last)
 				case end:
 					last = at(s.at)
 					w.Ended(s.upstream, last)
