--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -5,7 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
+
 	"strings"
 	"sync"
 	"time"
@@ -14,18 +14,6 @@
 const (
 	defaultTerm     = 10 * time.Minute
 	defaultCapacity = 1024
-	// provenWeight and openWeight are what one upstream's end adds to the case against content: its
-	// end was seen, or only a connection that broke while the content ran.
-	provenWeight = 3
-	openWeight   = 2
-	// quarantineWeight is reached by two proven ends or three open ones.
-	quarantineWeight = 2 * provenWeight
-	// termGrowth times as long is content kept away for each end beyond those: content that keeps
-	// coming for a day gets three trials.
-	termGrowth = 6
-	maxTerm    = 24 * time.Hour
-	// maxCrashes bounds the crashes that one entry names.
-	maxCrashes = 8
 	// mergeTolerance keeps two tables from prolonging each other's entries.
 	mergeTolerance = time.Second
 	// freshFor is how long a suspect is told beside the urgent ones after a change: other processes
@@ -33,10 +21,6 @@
 	freshFor = 3 * time.Second
 	// maxFresh bounds those: the contents of two busy upstreams that end together.
 	maxFresh = 512
-
-	open    state = 1
-	proven  state = 2
-	cleared state = 3
 )
 
 type (
@@ -93,20 +77,6 @@
 
 	// Option changes a table's bounds.
 	Option func(*Table)
-
-	entry struct {
-		crashes map[string]evidence
-		expires time.Time
-		changed time.Time
-	}
-
-	// evidence is one crash in the case against content.
-	evidence struct {
-		state   state
-		learned time.Time
-	}
-
-	state int
 )
 
 // NewTable returns an empty table.
@@ -217,15 +187,6 @@
 	return crossed
 }
 
-// term is how long the content is kept away, or suspected.
-func (e *entry) term(first time.Duration) time.Duration {
-	term := first
-	for range (e.weight() - quarantineWeight) / provenWeight {
-		term = min(term*termGrowth, max(first, maxTerm))
-	}
-	return term
-}
-
 // Check tells whether content may run.
 func (t *Table) Check(fingerprint string, now time.Time) Verdict {
 	t.mu.Lock()
@@ -365,76 +326,3 @@
 	t.entries[fingerprint] = e
 	return e
 }
-
-// before reports whether an entry makes room before another one: suspects before quarantined content,
-// then what ends first.
-func (e *entry) before(other *entry) bool {
-	if kept, otherKept := e.weight() >= quarantineWeight, other.weight() >= quarantineWeight; kept != otherKept {
-		return otherKept
-	}
-	return e.expires.Before(other.expires)
-}
-
-// add notes the end of an upstream, and reports whether it was new.
-func (e *entry) add(c Crash, now time.Time) bool {
-	told := open
-	if c.Proven {
-		told = proven
-	}
-	name := c.Upstream
-	for again := 1; ; again++ {
-		known, found := e.crashes[name]
-		// An end that was known when the try began was another one. What broke off only may break
-		// off again, and counts once.
-		another := known.learned.Before(c.Began) && known.state != open
-		if !found || !another {
-			return e.set(name, told, now)
-		}
-		name = c.Upstream + "+" + strconv.Itoa(again)
-	}
-}
-
-// set notes a crash under its name, and reports whether it was new. A later state replaces an earlier
-// one: what is cleared stays so.
-func (e *entry) set(name string, told state, now time.Time) bool {
-	known, found := e.crashes[name]
-	if known.state >= told || !found && len(e.crashes) >= maxCrashes && !e.makeRoom() {
-		return false
-	}
-	if !found {
-		known.learned = now
-	}
-	known.state = told
-	e.crashes[name] = known
-	return true
-}
-
-// makeRoom drops the earliest cleared crash, and reports whether there was one.
-func (e *entry) makeRoom() bool {
-	first := ""
-	for name, known := range e.crashes {
-		if known.state == cleared && (first == "" || known.learned.Before(e.crashes[first].learned)) {
-			first = name
-		}
-	}
-	delete(e.crashes, first)
-	return first != ""
-}
-
-// weight is how much speaks against the content.
-func (e *entry) weight() int {
-	if e == nil {
-		return 0
-	}
-	total := 0
-	for _, known := range e.crashes {
-		switch known.state {
-		case proven:
-			total += provenWeight
-		case open:
-			total += openWeight
-		case cleared:
-		}
-	}
-	return total
-}
