End an upstream when another one is published at its address

Callers of harmless content were refused as quarantined, and sends were wasted on answers 421.

Cause: an entry of an ended server stays listed until its heartbeats lapse (3.6 s), and was used meanwhile although its successor was published at the same address. A send under the old name reached the successor; when that one ended too, the same end counted under both names, and a further successor ended the old name once more.

Change: what starts later at an address ends what was there, once, and the old member gets no more work; an entry that arrives late, after its successor's, gets none either. Entries that don't tell their start decide nothing.

TestAddressOfAnotherIncarnation failed in 4 of 6 cases before.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -50,24 +50,35 @@
 // Put takes what an upstream published of itself. It reports whether the upstream is new.
 func (d *Directory) Put(u Upstream) bool {
 	d.mu.Lock()
-	earlier := d.earlier(u)
-	isNew := d.put(u)
+	isNew, ended := d.put(u)
 	d.mu.Unlock()
-	if isNew {
-		d.tell(earlier)
-	}
+	d.tell(ended)
 	return isNew
 }
 
-// earlier returns the incarnations that a new one follows. The caller holds the lock.
-func (d *Directory) earlier(u Upstream) []Upstream {
-	var list []Upstream
+// succeed ends the incarnations that a new member follows at its address, and returns them. A member that
+// was published late, after its successor, gets no work. The caller holds the lock.
+func (d *Directory) succeed(next *Member) []Upstream {
+	var ended []Upstream
 	for _, m := range d.members {
-		if m.ID == u.ID || m.Address == u.Address {
-			list = append(list, m.Upstream)
+		switch {
+		case m.Address != next.Address, m.ID == next.ID, m.Started.IsZero(), next.Started.IsZero():
+		case m.Started.After(next.Started):
+			next.Replaced()
+		case m.Started.Before(next.Started):
+			ended = append(ended, m.end()...)
+			m.Replaced()
 		}
 	}
-	return list
+	return ended
+}
+
+// end returns the incarnation, unless its end is known already.
+func (m *Member) end() []Upstream {
+	if m.isGone() {
+		return nil
+	}
+	return []Upstream{m.Upstream}
 }
 
 func (d *Directory) tell(ended []Upstream) {
@@ -76,22 +87,29 @@
 	}
 }
 
-func (d *Directory) put(u Upstream) bool {
+// put takes what an upstream published. It reports whether the incarnation is new, and returns those that
+// are known to have ended by it. The caller holds the lock.
+func (d *Directory) put(u Upstream) (bool, []Upstream) {
 	delete(d.lapsed, u.ID)
 	old, found := d.members[u.ID]
 	switch {
 	case found && u.Started.Before(old.Started) && !u.Started.IsZero():
 		// A late write of an earlier incarnation says nothing of the one that runs.
-		return false
+		return false, nil
 	case !found || old.Address != u.Address || old.Started != u.Started:
-		d.members[u.ID] = &Member{Upstream: u, History: &History{}}
-		return true
+		next := &Member{Upstream: u, History: &History{}}
+		ended := d.succeed(next)
+		if found {
+			ended = append(ended, old.end()...)
+		}
+		d.members[u.ID] = next
+		return true, ended
 	case old.Upstream == u:
-		return false
+		return false, nil
 	}
 	// Facts that requests read without the lock never change in place.
 	d.members[u.ID] = &Member{Upstream: u, History: old.History}
-	return false
+	return false, nil
 }
 
 // Remove drops an upstream, or keeps it for the grace after an outage of the source. It
@@ -110,7 +128,7 @@
 	}
 	d.drop(id)
 	d.mu.Unlock()
-	d.ended(m.Upstream)
+	d.tell(m.end())
 	return true
 }
 
@@ -138,10 +156,8 @@
 	published := make(map[string]bool, len(all))
 	for _, u := range all {
 		published[u.ID] = true
-		earlier := d.earlier(u)
-		if d.put(u) {
-			ended = append(ended, earlier...)
-		}
+		_, earlier := d.put(u)
+		ended = append(ended, earlier...)
 	}
 	for id, m := range d.members {
 		switch {
@@ -150,7 +166,7 @@
 			d.lapse(id, now)
 		default:
 			d.drop(id)
-			ended = append(ended, m.Upstream)
+			ended = append(ended, m.end()...)
 		}
 	}
 	d.mu.Unlock()
@@ -181,7 +197,7 @@
 	var ended []Upstream
 	for id, until := range d.lapsed {
 		if !d.away && !now.Before(until) {
-			ended = append(ended, d.members[id].Upstream)
+			ended = append(ended, d.members[id].end()...)
 			d.drop(id)
 		}
 	}
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -160,3 +160,40 @@
 	is.True(!d.Remove("a", start))
 	is.Equal(d.Size(), 0)
 }
+
+// A server that is published at an address follows the one that had it, whatever arrives late.
+func TestAddressOfAnotherIncarnation(t *testing.T) {
+	earlier := upstream.Upstream{ID: "i-1", Pool: "desk", Address: "10.0.0.1:80", Started: time.UnixMilli(1000)}
+	later := upstream.Upstream{ID: "i-2", Pool: "desk", Address: "10.0.0.1:80", Started: time.UnixMilli(2000)}
+	latest := upstream.Upstream{ID: "i-3", Pool: "other", Address: "10.0.0.1:80", Started: time.UnixMilli(3000)}
+	elsewhere := upstream.Upstream{ID: "i-4", Pool: "desk", Address: "10.0.0.2:80", Started: time.UnixMilli(3000)}
+	same := later
+	same.ID = "i-1"
+	tests := map[string]struct {
+		puts  []upstream.Upstream
+		ready []string
+		ended []string
+	}{
+		"elsewhere":                    {[]upstream.Upstream{earlier, elsewhere}, []string{"i-1", "i-4"}, nil},
+		"after the earlier one":        {[]upstream.Upstream{earlier, later}, []string{"i-2"}, []string{"i-1"}},
+		"a late write of the earlier":  {[]upstream.Upstream{later, earlier}, []string{"i-2"}, nil},
+		"both, and a late write":       {[]upstream.Upstream{earlier, later, earlier}, []string{"i-2"}, []string{"i-1"}},
+		"under the same id":            {[]upstream.Upstream{earlier, same}, []string{"i-1"}, []string{"i-1"}},
+		"twice, each end is told once": {[]upstream.Upstream{earlier, later, latest}, nil, []string{"i-1", "i-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ended, ready []string
+			d := upstream.NewDirectory(upstream.WithEnds(func(u upstream.Upstream) { ended = append(ended, u.ID) }))
+			for _, u := range tt.puts {
+				d.Put(u)
+			}
+			for _, m := range d.Ready("desk", upstream.PhaseNone, time.Now()) {
+				ready = append(ready, m.ID)
+			}
+			is.Equal(ready, tt.ready)
+			is.Equal(ended, tt.ended)
+		})
+	}
+}
