--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -112,7 +112,18 @@
 
 // abandoned records a send whose answer nobody waits for any more.
 func (w *work) abandoned(t quarantine.Try) {
-	w.gateway.crashes.changed(w.gateway.crashes.watch.Abandoned(t, time.Now()))
+	if !w.gateway.crashes.watch.Abandoned(t, time.Now()) {
+		return
+	}
+	w.gateway.suspect(t.Upstream, names(t.Contents))
+}
+
+func names(contents []quarantine.Content) []string {
+	var list []string
+	for _, c := range contents {
+		list = append(list, c.Name)
+	}
+	return list
 }
 
 func (w *work) answered(t quarantine.Try) {
@@ -176,10 +187,14 @@
 func (g *Gateway) UpstreamEnded(u upstream.Upstream) {
 	name := incarnation(u)
 	blamed := g.crashes.watch.Ended(name, time.Now())
-	if len(blamed) == 0 {
-		return
+	if len(blamed) > 0 {
+		g.suspect(name, blamed)
 	}
-	g.log.Info(event.ContentSuspected, "upstream", name, "contents", blamed)
+}
+
+// suspect logs contents under which an upstream ended, and passes them on.
+func (g *Gateway) suspect(name string, contents []string) {
+	g.log.Info(event.ContentSuspected, "upstream", name, "contents", contents)
 	g.crashes.changed(true)
 }
 
--- a/router/gateway/work.go
+++ b/router/gateway/work.go
@@ -61,7 +61,7 @@
 // broke logs a send that gave no whole answer.
 func (w *work) broke(m *upstream.Member, p Path, err error) {
 	w.gateway.log.Error(err, event.SendBroke, "request", w.request.ID, "upstream", m.ID, "address", m.Address,
-		"path", p.String(), "content", w.contents[0].Name, "took_ms", time.Since(w.request.Arrived).Milliseconds())
+		"path", p.String(), "contents", names(w.contents), "took_ms", time.Since(w.request.Arrived).Milliseconds())
 }
 
 func (g *Gateway) note(m *upstream.Member, reason NotRunReason, err error) {
