Let an upstream's own failure clear no content

Callers would see content that crashes servers run again: an upstream that fails a part of its requests (status 500) answered it once, which counted as a whole answer and cleared what was known of it.

Cause: any answer that was read whole cleared its content. Change: answers of 500 and more say nothing. A look at the table for each answer no longer goes through all suspects to forget the old ones.

--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -152,7 +152,9 @@
 func (w *work) judge(ctx context.Context, c callResult) {
 	switch r := c.result.(type) {
 	case Answer:
-		w.answered(c.try)
+		if r.Status < http.StatusInternalServerError {
+			w.answered(c.try)
+		}
 	case Unknown:
 		w.unknown(ctx, c.try, c.member, r.Cut)
 	case NotRun:
--- a/router/gateway/crash_test.go
+++ b/router/gateway/crash_test.go
@@ -210,3 +210,37 @@
 		synctest.Wait()
 	})
 }
+
+// An upstream that fails a request by its own answer has not run it to its end: that clears nobody.
+func TestFailedAnswersClearNobody(t *testing.T) {
+	tests := map[string]struct {
+		kind   ingress.Kind
+		status int
+		counts int
+	}{
+		"a call's failure":   {ingress.NonIdempotent{}, 500, 1},
+		"a call's answer":    {ingress.NonIdempotent{}, 200, 0},
+		"a stream's failure": {ingress.Streaming{}, 500, 1},
+		"a stream's answer":  {ingress.Streaming{}, 200, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := func(s step) map[string][]step {
+					return map[string][]step{"d1": {s}, "d2": {s}, "g1": {s}, "g2": {s}}
+				}
+				f := &fake{steps: all(step{result: gateway.Unknown{Err: errBroken, Cut: true}}), gone: map[string]bool{"d1": true, "d2": true, "g1": true, "g2": true}}
+				g := world(t, f, tt.kind)
+				g.Serve(t.Context(), request(), &reply{})
+				time.Sleep(5 * time.Second)
+				f.reset(all(step{status: tt.status, body: "id: 1\n\n"}))
+				g.Serve(t.Context(), request(), &reply{})
+				for _, s := range g.Suspects(time.Now()) {
+					is.Equal(len(s.Crashes), tt.counts)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -97,7 +97,6 @@
 		n.unknown(ctx, t, m, u.Cut)
 		return n.lost(ctx, m, u.Err)
 	}
-	n.answered(t)
 	return done{n.deliver(callResult{member: m, body: body}, a)}
 }
 
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -206,7 +206,6 @@
 func (t *Table) Clear(fingerprint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now)
 	e := t.entries[fingerprint]
 	if e == nil || e.weight() >= quarantineWeight && !t.pardon {
 		return
