--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -118,6 +118,7 @@
 	w.gateway.suspect(t.Upstream, names(t.Contents))
 }
 
+// names returns the contents' names, as logs show them.
 func names(contents []quarantine.Content) []string {
 	var list []string
 	for _, c := range contents {
@@ -126,6 +127,7 @@
 	return list
 }
 
+// answered records a whole answer.
 func (w *work) answered(t quarantine.Try) {
 	w.gateway.crashes.watch.Answered(t, time.Now())
 }
@@ -133,14 +135,14 @@
 // probe asks an upstream for a connection some moments after an answer broke off there. A refusal
 // proves that the upstream ended.
 func (g *Gateway) probe(m *upstream.Member) {
-	if g.crashes.begin(m.ID) {
+	if g.crashes.beginProbe(m.ID) {
 		g.probeLater(m, probeAfter)
 	}
 }
 
 func (g *Gateway) probeLater(m *upstream.Member, pauses []time.Duration) {
 	if len(pauses) == 0 {
-		g.crashes.end(m.ID)
+		g.crashes.endProbe(m.ID)
 		return
 	}
 	time.AfterFunc(pauses[0], func() {
@@ -149,13 +151,13 @@
 			g.probeLater(m, pauses[1:])
 			return
 		}
-		g.crashes.end(m.ID)
+		g.crashes.endProbe(m.ID)
 		g.note(m, Unreachable, err)
 	})
 }
 
-// begin reports whether nobody probes the upstream yet.
-func (s *crashes) begin(id string) bool {
+// beginProbe reports whether nobody probes the upstream yet.
+func (s *crashes) beginProbe(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.probed[id] {
@@ -165,7 +167,7 @@
 	return true
 }
 
-func (s *crashes) end(id string) {
+func (s *crashes) endProbe(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.probed, id)
--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -59,8 +59,8 @@
 	name := c.Upstream
 	for again := 1; ; again++ {
 		known, found := e.crashes[name]
-		// An end that was known when the try began was another one. What broke off only may break
-		// off again, and counts once.
+		// An upstream whose end was known when the try began has ended once more. A broken answer
+		// counts once for each incarnation.
 		another := known.learned.Before(c.Began) && known.state != open
 		if !found || !another {
 			return e.set(name, told, now)
