Spread only ends under a content, and seldom: exchanges starved small entries

Change: urgent is only that an upstream ended under a content or that content became quarantined, and an entry spreads it to eight others twice in 1.5 s at most; the rest goes with the exchanges of each second. With real entries all 22 cases pass: no content sent on, 1 to 8 crashes.

--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -200,20 +200,22 @@
 	g.crashes.changed(true)
 }
 
-// changed passes on that something new speaks against a content.
-func (s *crashes) changed(news bool) {
-	if news {
-		s.logKept("")
+// changed passes urgent news on: that an upstream ended under a content, or that one is kept from now on. A
+// broken answer alone is told by the next exchanges.
+func (s *crashes) changed(ended bool) {
+	if kept := s.logKept(""); kept || ended {
 		s.told()
 	}
 }
 
-// logKept logs the contents that are kept from upstreams from now on. from is the entry that told of
+// logKept logs the contents that are kept from upstreams from now on, and reports whether there are any. from is the entry that told of
 // them; empty: this one found them.
-func (s *crashes) logKept(from string) {
-	for _, c := range s.table.Crossed() {
+func (s *crashes) logKept(from string) bool {
+	crossed := s.table.Crossed()
+	for _, c := range crossed {
 		s.log.Info(event.ContentKept, "content", c, "from", from)
 	}
+	return len(crossed) > 0
 }
 
 // Suspects returns the contents that crashed upstreams, the most urgent first, in bounded number.
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -31,10 +31,11 @@
 	// spreadTargets is the number of entries that are told of urgent news at once. All of them tell as
 	// many others: some 600 entries hear in three to four steps.
 	spreadTargets = 8
-	// spreadRounds is how often an entry does so: some of those that it draws may be dead.
-	spreadRounds = 3
-	// spreadPause gathers the news of one crash, which several requests find.
-	spreadPause = 50 * time.Millisecond
+	// spreadRounds is how often an entry does so, roundPause apart: some of those that it draws may be dead.
+	spreadRounds = 2
+	roundPause   = 50 * time.Millisecond
+	// spreadPause bounds what urgent news may cost: on a small core an exchange takes some milliseconds.
+	spreadPause = 1500 * time.Millisecond
 	// joinInterval and joinTime bound how an entry that has just started asks its seeds for news.
 	joinInterval = 250 * time.Millisecond
 	joinTime     = 5 * time.Second
@@ -173,11 +174,12 @@
 		}
 		for range spreadRounds {
 			go g.exchangeAll(ctx, g.targets())
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(spreadPause):
-			}
+			time.Sleep(roundPause)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(spreadPause):
 		}
 	}
 }
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -264,7 +264,7 @@
 }
 
 // Merge adds what another table knows: all crashes of both count, unless one has cleared them. It
-// reports whether anything was new.
+// reports whether anything new speaks against a content.
 func (t *Table) Merge(suspects []Suspect, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -283,7 +283,8 @@
 		}
 		t.cross(s.Fingerprint, before)
 		if news {
-			e.changed, anything = now, true
+			e.changed = now
+			anything = anything || e.weight() > before
 		}
 		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
 			e.expires = expires
--- a/router/quarantine/watch.go
+++ b/router/quarantine/watch.go
@@ -67,10 +67,11 @@
 	}
 }
 
-// Broke records that the upstream's answer broke off, and reports whether anything new speaks against
-// the contents.
+// Broke records that the upstream's answer broke off, and reports whether it had ended and that speaks anew
+// against the contents.
 func (w *Watch) Broke(t Try, now time.Time) bool {
-	return w.blame(t, w.unanswered(t, now), now)
+	ended := w.unanswered(t, now)
+	return w.blame(t, ended, now) && ended
 }
 
 // Abandoned records that nobody waits for the answer any more. That says nothing of the contents,
