--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -121,21 +121,23 @@
 	if k := c.idle.take(r.Address, time.Now()); k != nil {
 		return k, nil
 	}
+	return c.open(ctx, r.Address, r.Connect)
+}
+
+// open opens a connection; a limit of zero leaves the bound to the client.
+func (c *Client) open(ctx context.Context, address string, limit time.Duration) (*conn, error) {
 	c.dials.Add(1)
-	if r.Connect > 0 {
-		limited, cancel := context.WithTimeout(ctx, r.Connect)
+	if limit > 0 {
+		limited, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		ctx = limited
 	}
-	return c.dial(ctx, r.Address)
+	return c.dial(ctx, address)
 }
 
 // Probe opens a connection to an address, which a later request may use.
 func (c *Client) Probe(ctx context.Context, address string, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	c.dials.Add(1)
-	k, err := c.dial(ctx, address)
+	k, err := c.open(ctx, address, limit)
 	if err != nil {
 		return err
 	}
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -129,35 +129,29 @@
 	return true
 }
 
-// learn keeps what a send told of its upstream. A send that the caller ended tells nothing.
+// learn keeps what a send told of its content and its upstream. A send that the caller ended tells
+// nothing of its upstream.
 func (w *work) learn(ctx context.Context, c callResult) {
-	w.judge(ctx, c)
-	if ctx.Err() != nil {
-		return
-	}
+	over := ctx.Err() != nil
 	switch r := c.result.(type) {
 	case Answer:
-		if r.Status < http.StatusInternalServerError {
+		if r.Status >= http.StatusInternalServerError {
+			return
+		}
+		w.answered(c.try)
+		if !over {
 			c.member.Succeeded(c.took)
 		}
 	case NotRun:
-		w.gateway.note(c.member, r.Reason, r.Err)
-	case Unknown:
-		w.broke(c.member, c.path, r.Err)
-		w.gateway.failed(c.member, r.Err)
-	}
-}
-
-// judge tells what a send says of its content.
-func (w *work) judge(ctx context.Context, c callResult) {
-	switch r := c.result.(type) {
-	case Answer:
-		if r.Status < http.StatusInternalServerError {
-			w.answered(c.try)
+		if !over {
+			w.gateway.note(c.member, r.Reason, r.Err)
 		}
 	case Unknown:
 		w.unknown(ctx, c.try, c.member, r.Cut)
-	case NotRun:
+		if !over {
+			w.broke(c.member, c.path, r.Err)
+			w.gateway.failed(c.member, r.Err)
+		}
 	}
 }
 
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/refusal"
@@ -54,22 +52,11 @@
 // contents names what a request carries, as it stays when its caller sends it again: by the caller, and
 // without it for callers whose address changes.
 func (r *Request) contents() []quarantine.Content {
-	body := strconv.FormatUint(xxhash.Sum64(r.Body), 16)
+	name := func(parts ...string) string { return strconv.FormatUint(digest(r.Body, parts...), 16) }
 	return []quarantine.Content{
-		{Name: digest(r.Caller, r.Header.Get("Authorization"), r.Method, r.Path, body)},
-		{Name: digest(r.Method, r.Target, body), Shared: true},
-	}
-}
-
-// digest is the same for the same parts.
-func digest(parts ...string) string {
-	d := xxhash.New()
-	for _, part := range parts {
-		// A digest's writes don't fail.
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
+		{Name: name(r.Caller, r.Header.Get("Authorization"), r.Method, r.Path)},
+		{Name: name(r.Method, r.Target), Shared: true},
 	}
-	return strconv.FormatUint(d.Sum64(), 16)
 }
 
 // incarnation names one start of an upstream.
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -51,8 +51,7 @@
 		// runs counts the decode engines that may have run the request.
 		runs     int
 		resuming bool
-		// decodes counts the decodes that were sent, decoding is why the last one was.
-		decodes  int
+		// decoding is why the last decode was sent.
 		decoding Path
 		// held is memory that was found while an engine was silent; nil: none.
 		held *line.Grant
@@ -160,10 +159,6 @@
 	if !ok {
 		return n.unplaced(ctx)
 	}
-	if refused := n.kept(n.ran); refused != nil {
-		n.gateway.upstreams.FreeReservation(grant.Member, grant.Reservation)
-		return done{refused}
-	}
 	granted = time.Now()
 	tokens := n.record.Tokens
 	grant.Member.Begin(tokens)
@@ -327,11 +322,10 @@
 
 // path is why the next decode is sent.
 func (n *generation) path() Path {
-	n.decodes++
 	switch {
 	case n.resuming:
 		return Resume
-	case n.decodes > 1:
+	case n.record.Sends[FirstTry] > 0:
 		return AfterNotRun
 	}
 	return FirstTry
--- a/router/gateway/returns.go
+++ b/router/gateway/returns.go
@@ -33,16 +33,22 @@
 // fingerprint is the same for all tries of one request. Two requests with the same content are
 // taken for one, which costs the second its place in a line only.
 func (r *Request) fingerprint() uint64 {
+	prompt := ""
+	if r.Generation != nil {
+		prompt = r.Generation.Content
+	}
+	return digest(r.Body, r.Host, r.Target, r.Header.Get("Authorization"), prompt)
+}
+
+// digest is the same for the same parts and body.
+func digest(body []byte, parts ...string) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{r.Host, r.Target, r.Header.Get("Authorization")} {
+	for _, part := range parts {
 		// A digest's writes don't fail.
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	if r.Generation != nil {
-		_, _ = d.WriteString(r.Generation.Content)
-	}
-	_, _ = d.Write(r.Body)
+	_, _ = d.Write(body)
 	return d.Sum64()
 }
 
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -139,7 +139,7 @@
 	go g.join(ctx)
 	go g.spread(ctx)
 	meet := func(time.Time) {
-		if g.exchange(ctx, g.partner()) {
+		if g.exchange(ctx, g.partner()...) {
 			g.mu.Lock()
 			g.rounds++
 			g.mu.Unlock()
@@ -155,7 +155,7 @@
 	defer cancel()
 	t := time.NewTicker(joinInterval)
 	defer t.Stop()
-	for len(g.seeds) > 0 && !g.exchangeAll(ctx, g.seeds) {
+	for len(g.seeds) > 0 && !g.exchange(ctx, g.seeds...) {
 		select {
 		case <-ctx.Done():
 			return
@@ -173,7 +173,7 @@
 		case <-g.urgent:
 		}
 		for range spreadRounds {
-			go g.exchangeAll(ctx, g.targets())
+			go g.exchange(ctx, g.targets()...)
 			time.Sleep(roundPause)
 		}
 		select {
@@ -204,21 +204,6 @@
 	return list[:min(len(list), spreadTargets)]
 }
 
-// exchangeAll meets several entries at once, and reports whether one answered.
-func (g *Group) exchangeAll(ctx context.Context, addresses []string) bool {
-	var met atomic.Bool
-	var all sync.WaitGroup
-	for _, address := range addresses {
-		all.Go(func() {
-			if g.exchange(ctx, address) {
-				met.Store(true)
-			}
-		})
-	}
-	all.Wait()
-	return met.Load()
-}
-
 // Meet takes the news of another entry and returns those of this one.
 func (g *Group) Meet(news News) News {
 	g.hear(news)
@@ -292,20 +277,19 @@
 	targets := g.candidates()
 	g.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	g.mu.Unlock()
-	for _, address := range targets[:min(len(targets), leaveTargets)] {
-		g.exchange(ctx, address)
-	}
+	g.exchange(ctx, targets[:min(len(targets), leaveTargets)]...)
 }
 
 // partner draws whom to meet next: a member, or a seed that may know others. Empty: nobody is known.
-func (g *Group) partner() string {
+func (g *Group) partner() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := g.candidates()
 	if len(candidates) == 0 {
-		return ""
+		return nil
 	}
-	return candidates[g.random.IntN(len(candidates))]
+	drawn := g.random.IntN(len(candidates))
+	return candidates[drawn : drawn+1]
 }
 
 // candidates are the members that may be alive, and the seeds. The caller holds the lock.
@@ -319,19 +303,35 @@
 	return list
 }
 
-// exchange meets one entry and reports whether it answered.
-func (g *Group) exchange(ctx context.Context, address string) bool {
-	if address == "" {
+// exchange tells entries the same news, all at once, and reports whether one answered.
+func (g *Group) exchange(ctx context.Context, addresses ...string) bool {
+	if len(addresses) == 0 {
 		return false
 	}
 	g.mu.Lock()
 	g.table.self.Beat++
 	g.mu.Unlock()
+	news := g.tell()
+	var met atomic.Bool
+	var all sync.WaitGroup
+	for _, address := range addresses {
+		all.Go(func() {
+			if g.meet(ctx, address, news) {
+				met.Store(true)
+			}
+		})
+	}
+	all.Wait()
+	return met.Load()
+}
+
+// meet exchanges news with one entry and reports whether it answered.
+func (g *Group) meet(ctx context.Context, address string, news News) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	news, err := g.peers.Meet(ctx, address, g.tell())
+	answer, err := g.peers.Meet(ctx, address, news)
 	if err == nil {
-		g.hear(news)
+		g.hear(answer)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -44,12 +44,22 @@
 // before reports whether an entry makes room before another one: suspects before quarantined content,
 // then what ends first.
 func (e *entry) before(other *entry) bool {
-	if kept, otherKept := e.weight() >= quarantineWeight, other.weight() >= quarantineWeight; kept != otherKept {
+	if kept, otherKept := e.quarantined(), other.quarantined(); kept != otherKept {
 		return otherKept
 	}
 	return e.expires.Before(other.expires)
 }
 
+// over reports whether the entry is to be forgotten. Content that was quarantined is remembered for
+// another term, in which a further crash quarantines it at once.
+func (e *entry) over(term time.Duration, now time.Time) bool {
+	kept := e.expires
+	if e.quarantined() {
+		kept = kept.Add(term)
+	}
+	return now.After(kept)
+}
+
 // add notes the end of an upstream, and reports whether it was new.
 func (e *entry) add(c Crash, now time.Time) bool {
 	told := open
@@ -101,17 +111,27 @@
 	if e == nil {
 		return 0
 	}
-	total := 0
+	provenEnds, openEnds := 0, 0
 	for _, known := range e.crashes {
 		switch known.state {
 		case proven:
-			total += provenWeight
+			provenEnds++
 		case open:
-			total += openWeight
+			openEnds++
 		case cleared:
 		}
 	}
-	return total
+	return weigh(provenEnds, openEnds)
+}
+
+// weigh is the weight of so many proven and open ends.
+func weigh(proven, open int) int {
+	return proven*provenWeight + open*openWeight
+}
+
+// quarantined reports whether the content is kept away while its term lasts.
+func (e *entry) quarantined() bool {
+	return e.weight() >= quarantineWeight
 }
 
 // term is how long the content is kept away, or suspected.
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -140,7 +140,6 @@
 func (t *Table) Blame(fingerprint string, c Crash, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now)
 	return t.blame(fingerprint, c, now)
 }
 
@@ -149,19 +148,16 @@
 func (t *Table) BlameInTurn(fingerprint string, c Crash, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now)
-	if e, found := t.entries[fingerprint]; found {
-		for name, known := range e.crashes {
-			if known.state != cleared && name != c.Upstream && !known.learned.Before(c.Began) {
-				return false
-			}
+	for name, known := range t.entry(fingerprint, now).crashes {
+		if known.state != cleared && name != c.Upstream && !known.learned.Before(c.Began) {
+			return false
 		}
 	}
 	return t.blame(fingerprint, c, now)
 }
 
 func (t *Table) blame(fingerprint string, c Crash, now time.Time) bool {
-	e := t.entry(fingerprint)
+	e := t.entry(fingerprint, now)
 	before := e.weight()
 	if !e.add(c, now) {
 		return false
@@ -173,7 +169,7 @@
 
 // cross notes content that has become quarantined.
 func (t *Table) cross(fingerprint string, before int) {
-	if before < quarantineWeight && t.entries[fingerprint].weight() >= quarantineWeight && len(t.crossed) < t.capacity {
+	if before < quarantineWeight && t.entries[fingerprint].quarantined() && len(t.crossed) < t.capacity {
 		t.crossed = append(t.crossed, fingerprint)
 	}
 }
@@ -195,7 +191,7 @@
 	switch {
 	case e.weight() == 0 || now.After(e.expires):
 		return Free{}
-	case e.weight() < quarantineWeight:
+	case !e.quarantined():
 		return Suspected{}
 	}
 	return Quarantined{Remaining: e.expires.Sub(now)}
@@ -207,7 +203,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[fingerprint]
-	if e == nil || e.weight() >= quarantineWeight && !t.pardon {
+	if e == nil || e.quarantined() && !t.pardon {
 		return
 	}
 	for crash, known := range e.crashes {
@@ -257,7 +253,7 @@
 
 // quarantined is 1 for content that is kept away, and 0 for other content.
 func (s Suspect) quarantined() int {
-	if provenWeight*len(s.Crashes)+openWeight*len(s.Unproven) < quarantineWeight {
+	if weigh(len(s.Crashes), len(s.Unproven)) < quarantineWeight {
 		return 0
 	}
 	return 1
@@ -274,7 +270,7 @@
 		if s.Remaining <= 0 {
 			continue
 		}
-		e := t.entry(s.Fingerprint)
+		e := t.entry(s.Fingerprint, now)
 		before, news := e.weight(), false
 		for told, names := range map[state][]string{open: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
 			for _, crash := range names {
@@ -293,15 +289,10 @@
 	return anything
 }
 
-// forget drops what is over. Content that was quarantined is remembered for another term, in which a
-// further crash quarantines it at once.
+// forget drops what is over.
 func (t *Table) forget(now time.Time) {
 	for fingerprint, e := range t.entries {
-		kept := e.expires
-		if e.weight() >= quarantineWeight {
-			kept = kept.Add(t.term)
-		}
-		if now.After(kept) {
+		if e.over(t.term, now) {
 			delete(t.entries, fingerprint)
 		}
 	}
@@ -309,10 +300,11 @@
 
 // entry returns the entry of a fingerprint. A new one replaces that which ends first when
 // the table is full.
-func (t *Table) entry(fingerprint string) *entry {
-	if e, found := t.entries[fingerprint]; found {
+func (t *Table) entry(fingerprint string, now time.Time) *entry {
+	if e, found := t.entries[fingerprint]; found && !e.over(t.term, now) {
 		return e
 	}
+	delete(t.entries, fingerprint)
 	if len(t.entries) >= t.capacity {
 		first := ""
 		for f, other := range t.entries {
