--- a/scenario/fleet/control.go
+++ b/scenario/fleet/control.go
@@ -9,21 +9,22 @@
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/label"
 	"gooseberrypin.example/router/vm"
+	"gooseberrypin.example/standin/link"
 )
 
 // Cut holds back all that two processes send to each other.
 func (f *Fleet) Cut(a, b string) error {
-	return f.eachLink(a, b, (*Link).Cut)
+	return f.eachLink(a, b, (*link.Link).Cut)
 }
 
 // Reset closes the connections between two processes.
 func (f *Fleet) Reset(a, b string) error {
-	return f.eachLink(a, b, (*Link).Reset)
+	return f.eachLink(a, b, (*link.Link).Reset)
 }
 
 // Heal ends a cut.
 func (f *Fleet) Heal(a, b string) error {
-	return f.eachLink(a, b, (*Link).Heal)
+	return f.eachLink(a, b, (*link.Link).Heal)
 }
 
 // Publish changes a copy of the newest configuration and publishes it under the next
@@ -175,7 +176,7 @@
 	return get(address, path)
 }
 
-func (f *Fleet) eachLink(a, b string, do func(*Link)) error {
+func (f *Fleet) eachLink(a, b string, do func(*link.Link)) error {
 	found := false
 	for _, name := range []string{linkName(a, b), linkName(b, a)} {
 		if l := f.links[name]; l != nil {
--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/vm"
+	"gooseberrypin.example/standin/link"
 )
 
 const (
@@ -40,8 +41,8 @@
 		byName        map[string]*node
 		processes     map[string]*Process
 		order         []string
-		links         map[string]*Link
-		linksTo       map[string][]*Link
+		links         map[string]*link.Link
+		linksTo       map[string][]*link.Link
 		reserved      map[string][]net.Listener
 		platform      string
 		platformAdmin string
@@ -65,8 +66,8 @@
 		nodes:     layout.nodes(),
 		byName:    make(map[string]*node),
 		processes: make(map[string]*Process),
-		links:     make(map[string]*Link),
-		linksTo:   make(map[string][]*Link),
+		links:     make(map[string]*link.Link),
+		linksTo:   make(map[string][]*link.Link),
 		reserved:  make(map[string][]net.Listener),
 	}
 	for _, o := range options {
--- a/scenario/fleet/settings.go
+++ b/scenario/fleet/settings.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"gooseberrypin.example/router/settings"
+	"gooseberrypin.example/standin/link"
 )
 
 type (
@@ -96,10 +97,11 @@
 }
 
 func (f *Fleet) addLink(from, to, target string) (string, error) {
-	l, err := NewLink(f.host, target)
+	listener, err := listenFree(f.host)
 	if err != nil {
 		return "", err
 	}
+	l := link.New(listener, target)
 	f.links[linkName(from, to)] = l
 	f.linksTo[to] = append(f.linksTo[to], l)
 	return l.Address(), nil
--- a/scenario/fleet/link.go
+++ b/standin/link/link.go
@@ -1,9 +1,11 @@
-package fleet
+// Package link forwards TCP connections and disturbs them, as networks do.
+package link
 
 import (
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,7 +15,8 @@
 )
 
 type (
-	// Link forwards TCP connections from one process to another, and can be cut.
+	// Link forwards TCP connections from one process to another, and can be disturbed. It is safe for
+	// concurrent use.
 	Link struct {
 		address string
 		target  string
@@ -22,28 +25,27 @@
 		listener net.Listener
 		open     chan struct{}
 		conns    map[net.Conn]bool
-		done     context.Context
-		end      context.CancelFunc
+		// delay holds up what passes; there and back tell which way loses all.
+		delay       time.Duration
+		there, back bool
+		done        context.Context
+		end         context.CancelFunc
 	}
 )
 
-// NewLink returns a link that listens at a loopback address and forwards to target.
-func NewLink(host, target string) (*Link, error) {
-	listener, err := listenFree(host)
-	if err != nil {
-		return nil, err
-	}
+// New returns a link that takes connections from the listener, which it owns, and forwards to target.
+func New(listener net.Listener, target string) *Link {
 	l := &Link{
 		address:  listener.Addr().String(),
 		target:   target,
 		listener: listener,
 		conns:    make(map[net.Conn]bool),
+		open:     make(chan struct{}),
 	}
 	l.done, l.end = context.WithCancel(context.Background())
-	l.open = make(chan struct{})
 	close(l.open)
 	go l.accept(listener)
-	return l, nil
+	return l
 }
 
 // Listen takes connections again after Refuse.
@@ -99,6 +101,20 @@
 	}
 }
 
+// Delay holds up whatever passes from now on.
+func (l *Link) Delay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// Lose drops the bytes of one way or both from now on, without a sign to either end.
+func (l *Link) Lose(there, back bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.there, l.back = there, back
+}
+
 // Reset closes all connections of the link.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -108,6 +124,19 @@
 	}
 }
 
+// Abort ends all connections of the link with a TCP reset.
+func (l *Link) Abort() {
+	l.mu.Lock()
+	for c := range l.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			// A connection that is closed already needs no reset.
+			_ = t.SetLinger(0)
+		}
+	}
+	l.mu.Unlock()
+	l.Reset()
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.end()
@@ -140,14 +169,14 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.forward(from, to)
+		l.forward(from, to, &l.there)
 	}()
-	l.forward(to, from)
+	l.forward(to, from, &l.back)
 	<-done
 }
 
 // forward passes bytes on until either end closes.
-func (l *Link) forward(from, to net.Conn) {
+func (l *Link) forward(from, to net.Conn, lost *bool) {
 	defer closeBoth(from, to)
 	buffer := make([]byte, linkBufferBytes)
 	for {
@@ -155,7 +184,7 @@
 		if !l.pass() {
 			return
 		}
-		if n > 0 {
+		if n > 0 && !l.loses(lost) {
 			if _, errWrite := to.Write(buffer[:n]); errWrite != nil {
 				return
 			}
@@ -166,19 +195,34 @@
 	}
 }
 
-// pass waits while the link is cut, and tells whether it still exists.
+// pass waits while the link is cut or holds up, and tells whether it still exists.
 func (l *Link) pass() bool {
 	l.mu.Lock()
-	open := l.open
+	open, delay := l.open, l.delay
 	l.mu.Unlock()
 	select {
 	case <-open:
+	case <-l.done.Done():
+		return false
+	}
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
 		return true
 	case <-l.done.Done():
 		return false
 	}
 }
 
+// loses reads whether one way loses all.
+func (l *Link) loses(lost *bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return *lost
+}
+
 func (l *Link) add(c net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/scenario/fleet/link_test.go
+++ b/standin/link/link_test.go
@@ -1,4 +1,4 @@
-package fleet
+package link
 
 import (
 	"bufio"
@@ -36,11 +36,19 @@
 	return l.Addr().String()
 }
 
+func newLink(t *testing.T) *Link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := New(l, newEcho(t))
+	t.Cleanup(link.Close)
+	return link
+}
+
 func TestLinkHoldsBackAndForwardsLater(t *testing.T) {
 	is := is.New(t)
-	link, err := NewLink("127.0.0.1", newEcho(t))
-	is.NoErr(err)
-	defer link.Close()
+	link := newLink(t)
 	c, err := net.Dial("tcp", link.Address())
 	is.NoErr(err)
 	r := bufio.NewReader(c)
@@ -65,9 +73,7 @@
 
 func TestLinkReset(t *testing.T) {
 	is := is.New(t)
-	link, err := NewLink("127.0.0.1", newEcho(t))
-	is.NoErr(err)
-	defer link.Close()
+	link := newLink(t)
 	c, err := net.Dial("tcp", link.Address())
 	is.NoErr(err)
 	_, _ = io.WriteString(c, "one\n")
@@ -82,11 +88,9 @@
 
 func TestLinkRefusesAndListensAgain(t *testing.T) {
 	is := is.New(t)
-	link, err := NewLink("127.0.0.1", newEcho(t))
-	is.NoErr(err)
-	defer link.Close()
+	link := newLink(t)
 	link.Refuse()
-	_, err = net.Dial("tcp", link.Address())
+	_, err := net.Dial("tcp", link.Address())
 	is.True(errors.Is(err, syscall.ECONNREFUSED)) // nobody listens
 	is.NoErr(link.Listen())
 	c, err := net.Dial("tcp", link.Address())
@@ -96,3 +100,55 @@
 	is.NoErr(err)
 	is.Equal(line, "one\n") // the link forwards again
 }
+
+// One way may lose all while the other one goes on.
+func TestLinkLosesOneWay(t *testing.T) {
+	tests := map[string]struct{ there, back, arrives bool }{
+		"there":   {there: true},
+		"back":    {back: true},
+		"neither": {arrives: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			link := newLink(t)
+			c, err := net.Dial("tcp", link.Address())
+			is.NoErr(err)
+			link.Lose(tt.there, tt.back)
+			_, err = io.WriteString(c, "one\n")
+			is.NoErr(err)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(silence)))
+			_, err = bufio.NewReader(c).ReadString('\n')
+			is.Equal(err == nil, tt.arrives)
+		})
+	}
+}
+
+func TestLinkDelays(t *testing.T) {
+	is := is.New(t)
+	link := newLink(t)
+	link.Delay(silence)
+	c, err := net.Dial("tcp", link.Address())
+	is.NoErr(err)
+	began := time.Now()
+	_, err = io.WriteString(c, "one\n")
+	is.NoErr(err)
+	_, err = bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	is.True(time.Since(began) >= 2*silence) // there and back
+}
+
+func TestLinkAborts(t *testing.T) {
+	is := is.New(t)
+	link := newLink(t)
+	c, err := net.Dial("tcp", link.Address())
+	is.NoErr(err)
+	_, err = io.WriteString(c, "one\n")
+	is.NoErr(err)
+	_, err = bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	link.Abort()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(bound)))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
