--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -207,7 +207,7 @@
 
 // Suspects returns the contents that crashed upstreams, the most urgent first, in bounded number.
 func (g *Gateway) Suspects(now time.Time) []quarantine.Suspect {
-	return quarantine.Urgent(g.crashes.table.Suspects(now), now, maxSuspectsTold)
+	return g.crashes.table.Urgent(now, maxSuspectsTold)
 }
 
 // HearSuspects takes what another entry knows of contents that crashed upstreams, and reports whether
--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -27,7 +29,10 @@
 type (
 	// entry is the case against one content.
 	entry struct {
-		crashes map[string]evidence
+		fingerprint string
+		crashes     map[string]evidence
+		// weight is how much speaks against the content, by its crashes.
+		weight  int
 		expires time.Time
 		changed time.Time
 	}
@@ -41,13 +46,16 @@
 	state int
 )
 
-// before reports whether an entry makes room before another one: suspects before quarantined content,
-// then what ends first.
-func (e *entry) before(other *entry) bool {
+// compare orders entries by how long they must be known: suspects before quarantined content, then what
+// ends first.
+func (e *entry) compare(other *entry) int {
 	if kept, otherKept := e.quarantined(), other.quarantined(); kept != otherKept {
-		return otherKept
+		if otherKept {
+			return -1
+		}
+		return 1
 	}
-	return e.expires.Before(other.expires)
+	return e.expires.Compare(other.expires)
 }
 
 // over reports whether the entry is to be forgotten. Content that was quarantined is remembered for
@@ -89,6 +97,7 @@
 	if !found {
 		known.learned = now
 	}
+	e.weight += told.weight() - known.state.weight()
 	known.state = told
 	e.crashes[name] = known
 	return true
@@ -106,39 +115,52 @@
 	return first != ""
 }
 
-// weight is how much speaks against the content.
-func (e *entry) weight() int {
-	if e == nil {
-		return 0
-	}
-	provenEnds, openEnds := 0, 0
-	for _, known := range e.crashes {
-		switch known.state {
-		case proven:
-			provenEnds++
-		case open:
-			openEnds++
-		case cleared:
-		}
+// weight is what a crash adds to the case.
+func (s state) weight() int {
+	switch s {
+	case proven:
+		return provenWeight
+	case open:
+		return openWeight
 	}
-	return weigh(provenEnds, openEnds)
+	return 0
 }
 
-// weigh is the weight of so many proven and open ends.
-func weigh(proven, open int) int {
-	return proven*provenWeight + open*openWeight
+// clear excuses all crashes.
+func (e *entry) clear() {
+	for name, known := range e.crashes {
+		known.state = cleared
+		e.crashes[name] = known
+	}
+	e.weight = 0
 }
 
 // quarantined reports whether the content is kept away while its term lasts.
 func (e *entry) quarantined() bool {
-	return e.weight() >= quarantineWeight
+	return e.weight >= quarantineWeight
 }
 
 // term is how long the content is kept away, or suspected.
 func (e *entry) term(first time.Duration) time.Duration {
 	term := first
-	for range (e.weight() - quarantineWeight) / provenWeight {
+	for range (e.weight - quarantineWeight) / provenWeight {
 		term = min(term*termGrowth, max(first, maxTerm))
 	}
 	return term
 }
+
+// suspect is the entry as processes tell it to each other.
+func (e *entry) suspect(now time.Time) Suspect {
+	s := Suspect{Fingerprint: e.fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now)}
+	for _, crash := range slices.Sorted(maps.Keys(e.crashes)) {
+		switch e.crashes[crash].state {
+		case proven:
+			s.Crashes = append(s.Crashes, crash)
+		case open:
+			s.Unproven = append(s.Unproven, crash)
+		case cleared:
+			s.Cleared = append(s.Cleared, crash)
+		}
+	}
+	return s
+}
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -2,7 +2,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -60,8 +59,6 @@
 		Cleared []string `json:"cleared,omitempty"`
 		// Remaining is the time until the entry is forgotten.
 		Remaining time.Duration `json:"remaining_ns"`
-		// Changed is when this process learned something new of it.
-		Changed time.Time `json:"changed"`
 	}
 
 	// Table holds the suspects that a process knows, in bounded number.
@@ -124,7 +121,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f].weight() == 0 })
+	blamed := slices.DeleteFunc(slices.Clone(running), func(f string) bool { return t.entries[f] == nil || t.entries[f].weight == 0 })
 	if len(blamed) == 0 {
 		blamed = running
 	}
@@ -158,7 +155,7 @@
 
 func (t *Table) blame(fingerprint string, c Crash, now time.Time) bool {
 	e := t.entry(fingerprint, now)
-	before := e.weight()
+	before := e.weight
 	if !e.add(c, now) {
 		return false
 	}
@@ -189,7 +186,7 @@
 	defer t.mu.Unlock()
 	e := t.entries[fingerprint]
 	switch {
-	case e.weight() == 0 || now.After(e.expires):
+	case e == nil || e.weight == 0 || now.After(e.expires):
 		return Free{}
 	case !e.quarantined():
 		return Suspected{}
@@ -206,10 +203,7 @@
 	if e == nil || e.quarantined() && !t.pardon {
 		return
 	}
-	for crash, known := range e.crashes {
-		known.state = cleared
-		e.crashes[crash] = known
-	}
+	e.clear()
 }
 
 // Suspects returns the entries in the order of their fingerprints.
@@ -218,19 +212,8 @@
 	defer t.mu.Unlock()
 	t.forget(now)
 	list := make([]Suspect, 0, len(t.entries))
-	for fingerprint, e := range t.entries {
-		s := Suspect{Fingerprint: fingerprint, Crashes: []string{}, Remaining: e.expires.Sub(now), Changed: e.changed}
-		for _, crash := range slices.Sorted(maps.Keys(e.crashes)) {
-			switch e.crashes[crash].state {
-			case proven:
-				s.Crashes = append(s.Crashes, crash)
-			case open:
-				s.Unproven = append(s.Unproven, crash)
-			case cleared:
-				s.Cleared = append(s.Cleared, crash)
-			}
-		}
-		list = append(list, s)
+	for _, e := range t.entries {
+		list = append(list, e.suspect(now))
 	}
 	slices.SortFunc(list, func(a, b Suspect) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	return list
@@ -238,25 +221,18 @@
 
 // Urgent returns the suspects that others must know first: a number of those that are quarantined, then
 // of those that were reported last; and in bounded number all that have just changed.
-func Urgent(suspects []Suspect, now time.Time, most int) []Suspect {
-	urgent := slices.SortedStableFunc(slices.Values(suspects), func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(b.quarantined(), a.quarantined()), cmp.Compare(b.Remaining, a.Remaining))
-	})
-	told := urgent[:min(len(urgent), most)]
-	for _, s := range urgent[len(told):] {
-		if now.Sub(s.Changed) < freshFor && len(told) < maxFresh {
-			told = append(told, s)
+func (t *Table) Urgent(now time.Time, most int) []Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	urgent := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return b.compare(a) })
+	var list []Suspect
+	for n, e := range urgent {
+		if n < most || now.Sub(e.changed) < freshFor && len(list) < maxFresh {
+			list = append(list, e.suspect(now))
 		}
 	}
-	return told
-}
-
-// quarantined is 1 for content that is kept away, and 0 for other content.
-func (s Suspect) quarantined() int {
-	if weigh(len(s.Crashes), len(s.Unproven)) < quarantineWeight {
-		return 0
-	}
-	return 1
+	return list
 }
 
 // Merge adds what another table knows: all crashes of both count, unless one has cleared them. It
@@ -271,7 +247,7 @@
 			continue
 		}
 		e := t.entry(s.Fingerprint, now)
-		before, news := e.weight(), false
+		before, news := e.weight, false
 		for told, names := range map[state][]string{open: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
 			for _, crash := range names {
 				news = e.set(crash, told, now) || news
@@ -280,7 +256,7 @@
 		t.cross(s.Fingerprint, before)
 		if news {
 			e.changed = now
-			anything = anything || e.weight() > before
+			anything = anything || e.weight > before
 		}
 		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
 			e.expires = expires
@@ -308,13 +284,13 @@
 	if len(t.entries) >= t.capacity {
 		first := ""
 		for f, other := range t.entries {
-			if first == "" || other.before(t.entries[first]) {
+			if first == "" || other.compare(t.entries[first]) < 0 {
 				first = f
 			}
 		}
 		delete(t.entries, first)
 	}
-	e := &entry{crashes: make(map[string]evidence)}
+	e := &entry{fingerprint: fingerprint, crashes: make(map[string]evidence)}
 	t.entries[fingerprint] = e
 	return e
 }
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -143,3 +143,34 @@
 		table.Check("innocent", now)
 	}
 }
+
+// full returns a table that holds as many suspects as an entry of the platform keeps.
+func full(now time.Time) *quarantine.Table {
+	const suspects = 4096
+	table := quarantine.NewTable(quarantine.WithCapacity(suspects))
+	for n := range suspects {
+		table.Blame(fmt.Sprintf("suspect-%d", n), quarantine.Crash{Upstream: fmt.Sprintf("i-%d", n/128), Began: now}, now.Add(-time.Minute))
+	}
+	return table
+}
+
+// BenchmarkUrgent is what each exchange of an entry asks of a full table.
+func BenchmarkUrgent(b *testing.B) {
+	now := time.Now()
+	table := full(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Urgent(now, 32)
+	}
+}
+
+// BenchmarkBlame adds suspects to a full table, in which others make room.
+func BenchmarkBlame(b *testing.B) {
+	now := time.Now()
+	table := full(now)
+	n := 0
+	for b.Loop() {
+		n++
+		table.Blame(fmt.Sprintf("new-%d", n), quarantine.Crash{Upstream: "i-0", Began: now}, now)
+	}
+}
--- a/router/quarantine/watch_test.go
+++ b/router/quarantine/watch_test.go
@@ -142,7 +142,7 @@
 	now := time.Now()
 	tables := []*quarantine.Table{busy("a", 128, now), busy("b", 128, now)}
 	for i, table := range tables {
-		table.Merge(quarantine.Urgent(tables[1-i].Suspects(now), now, 32), now)
+		table.Merge(tables[1-i].Urgent(now, 32), now)
 	}
 	for _, table := range tables {
 		_, kept := table.Check(killer, now).(quarantine.Quarantined)
