Draw among decode engines that seem alike

Cause: a line asked the engine with the least own memory in use, the first by ID among equals. With 103 entries each one has nothing at most engines, so all of them asked the same engine first, then the same next one; streams waited 720 ms beside engines that stood empty. The log hid it: a refused request told 0 engines asked. Ruled out: rejections (the 6,205 arrivals that were not run are the prefills).

The fake of the gateway's tests plays its steps in the order of the sends, whichever engine is drawn.

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -20,6 +20,11 @@
 	"gooseberrypin.example/router/upstream"
 )
 
+const (
+	// anyUpstream names the steps that all upstreams share.
+	anyUpstream = "any"
+)
+
 var (
 	errBroken = errors.New("connection reset")
 )
@@ -37,7 +42,8 @@
 		status int
 	}
 
-	// fake plays steps by the upstream's ID, the last one again and again.
+	// fake plays steps by the upstream's ID, or in the order of the sends to any of them, the last one
+	// again and again.
 	fake struct {
 		mu       sync.Mutex
 		steps    map[string][]step
@@ -110,6 +116,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent = append(f.sent, id)
+	if _, found := f.steps[anyUpstream]; found {
+		id = anyUpstream
+	}
 	steps := f.steps[id]
 	if len(steps) == 0 {
 		return step{status: http.StatusOK, body: "id: 1\n\n"}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -225,7 +225,8 @@
 	reserve := func(ctx context.Context, m *upstream.Member, tokens int) line.Outcome {
 		return g.reserve(ctx, m, tokens, life)
 	}
-	s.line = line.NewLine(reserve, g.upstreams.FreeReservation, members)
+	s.line = line.NewLine(reserve, g.upstreams.FreeReservation, members,
+		line.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))))
 	g.pools[p.Name] = s
 	return s
 }
--- a/router/line/line.go
+++ b/router/line/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,7 @@
 		release Releaser
 		members func() []*upstream.Member
 		recheck time.Duration
+		random  *rand.Rand
 
 		mu      sync.Mutex
 		waiting []*ticket
@@ -122,6 +124,7 @@
 		release: release,
 		members: members,
 		recheck: defaultRecheck,
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		beliefs: make(map[string]*belief),
 	}
 	for _, opt := range opts {
@@ -135,7 +138,13 @@
 	return func(l *Line) { l.recheck = pause }
 }
 
-// Wait waits for memory. It returns false when the waiter's time in the line is over or ctx ended.
+// WithRandom sets what draws among engines that seem alike.
+func WithRandom(random *rand.Rand) Option {
+	return func(l *Line) { l.random = random }
+}
+
+// Wait waits for memory. It returns false when the waiter's time in the line is over or ctx ended; the
+// grant then has only the number of engines that were asked.
 func (l *Line) Wait(ctx context.Context, w Waiter) (Grant, bool) {
 	t := &ticket{Waiter: w, ctx: ctx, result: make(chan result, 1)}
 	l.mu.Lock()
@@ -145,7 +154,7 @@
 	if l.hopeless(t, now) {
 		l.leave(t)
 		l.mu.Unlock()
-		return Grant{}, false
+		return Grant{Tried: t.tried}, false
 	}
 	l.mu.Unlock()
 	select {
@@ -163,7 +172,7 @@
 		}
 	default:
 	}
-	return Grant{}, false
+	return Grant{Tried: t.tried}, false
 }
 
 // Freed tells that memory came free at an engine, so that it is asked again at once.
@@ -214,7 +223,7 @@
 	kept := l.waiting[:0]
 	for _, t := range l.waiting {
 		if !t.trying && t.over(now, fresh) {
-			t.result <- result{}
+			t.result <- result{grant: Grant{Tried: t.tried}}
 			continue
 		}
 		kept = append(kept, t)
@@ -229,10 +238,11 @@
 }
 
 // choose returns the engine with the least memory in use by this process among those that may
-// have room.
+// have room. Equals are drawn: where entries are many, each one has nothing at most engines, and all
+// of them would ask the same one.
 func (l *Line) choose(t *ticket, members []*upstream.Member, now time.Time) *upstream.Member {
 	var best *upstream.Member
-	least := 0
+	least, equals := 0, 0
 	for _, m := range members {
 		b := l.belief(m.ID)
 		if b.trying || m.ID == t.Avoid && len(members) > 1 {
@@ -241,8 +251,14 @@
 		if b.refused > 0 && t.Tokens >= b.refused && now.Before(b.retry) {
 			continue
 		}
-		if used := m.Load().Tokens; best == nil || used < least {
-			best, least = m, used
+		switch used := m.Load().Tokens; {
+		case best == nil || used < least:
+			best, least, equals = m, used, 1
+		case used == least:
+			equals++
+			if l.random.IntN(equals) == 0 {
+				best = m
+			}
 		}
 	}
 	return best
