--- a/gooseberryctl/gooseberryctl_test.go
+++ b/gooseberryctl/gooseberryctl_test.go
@@ -218,7 +218,7 @@
 func TestCheckSettings(t *testing.T) {
 	const valid = `{"name":"edge-1","region":"sul","data_centre":"sul-a","caller_address":"10.1.0.38:8149","ready_address":"10.1.0.38:8141",` +
 		`"control_address":"10.1.0.38:8144","metrics_address":"10.1.0.38:9100","store_address":"10.200.1.7:8142","peer_addresses":[],` +
-		`"memory_mb":134,"grace_s":8,"retry":{"ratio":0.2,"window_s":10,"slack":52}}`
+		`"memory_mb":134,"config_deadline_ms":4000,"drain_ms":4000,"grace_s":8,"retry":{"ratio":0.2,"window_s":10,"slack":52}}`
 	tests := map[string]struct {
 		kind, content string
 		code          int
--- a/router/formation/formation.go
+++ b/router/formation/formation.go
@@ -17,8 +17,8 @@
 const (
 	// interval is the pause between two looks at the directory.
 	interval = 250 * time.Millisecond
-	// settleTime is how long the directory must not have grown: engines of a fleet that starts
-	// publish themselves within half a second of each other.
+	// settleTime and the time between two reads of the directory's source are how long the directory must
+	// not have grown: engines of a fleet that starts publish themselves within half a second of each other.
 	settleTime = 700 * time.Millisecond
 	// window is how long after the start engines are turned: a new fleet serves after some ten
 	// seconds, and an engine needs six to turn.
@@ -40,6 +40,7 @@
 		directory *upstream.Directory
 		orders    Orders
 		share     float64
+		settle    time.Duration
 		idle      func() bool
 		log       event.Log
 		// turned are the engines that took an order; their entries follow seconds later.
@@ -48,9 +49,9 @@
 )
 
 // NewFormer returns a former that leaves a share of each pool's engines to prefill, while idle
-// reports that no request was served yet.
-func NewFormer(directory *upstream.Directory, orders Orders, share float64, idle func() bool, log event.Log) *Former {
-	return &Former{directory: directory, orders: orders, share: share, idle: idle, log: log, turned: make(map[string]bool)}
+// reports that no request was served yet. The directory hears news of its source by this interval.
+func NewFormer(directory *upstream.Directory, newsEvery time.Duration, orders Orders, share float64, idle func() bool, log event.Log) *Former {
+	return &Former{directory: directory, orders: orders, share: share, settle: newsEvery + settleTime, idle: idle, log: log, turned: make(map[string]bool)}
 }
 
 // Run turns engines whenever the directory is settled, until requests come or the window is over.
@@ -71,7 +72,7 @@
 			switch {
 			case now.After(end):
 				return
-			case size > 0 && now.Sub(grown) >= settleTime:
+			case size > 0 && now.Sub(grown) >= f.settle:
 				f.turn(ctx)
 				size, grown = known, now.Add(window)
 			}
--- a/router/formation/formation_test.go
+++ b/router/formation/formation_test.go
@@ -96,7 +96,7 @@
 					time.AfterFunc(after, func() { d.Put(engine(fmt.Sprint("p", i), "x", upstream.PhasePrefill)) })
 				}
 				idle := func() bool { return time.Since(began) < tt.served }
-				formation.NewFormer(d, o, 0.5, idle, event.Discard()).Run(t.Context())
+				formation.NewFormer(d, 0, o, 0.5, idle, event.Discard()).Run(t.Context())
 				is.Equal(len(o.turned), tt.want)
 				is.True(time.Since(began) <= 6*time.Second)
 				time.Sleep(10 * time.Second)
@@ -104,3 +104,18 @@
 		})
 	}
 }
+
+// The directory may hear of a starting fleet in two parts. The first part alone has too many prefill engines.
+func TestRunWaitsForTheNextNews(t *testing.T) {
+	const newsEvery = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, o := upstream.NewDirectory(), &orders{}
+		for i := range 4 {
+			d.Put(engine(fmt.Sprint("p", i), "x", upstream.PhasePrefill))
+			time.AfterFunc(newsEvery, func() { d.Put(engine(fmt.Sprint("d", i), "x", upstream.PhaseDecode)) })
+		}
+		formation.NewFormer(d, newsEvery, o, 0.5, func() bool { return true }, event.Discard()).Run(t.Context())
+		is.Equal(len(o.turned), 0)
+	})
+}
