--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -46,6 +46,12 @@
 	SendBroke = Event{Number: 6022, Text: "send broke off"}
 	// ContentKept tells that content is kept from all upstreams from now on.
 	ContentKept = Event{Number: 6023, Text: "content kept from upstreams"}
+	// CopyRead tells that another entry's copy of the platform's metadata was taken.
+	CopyRead = Event{Number: 6024, Text: "metadata taken from another entry"}
+	// CopyNotRead tells that another entry gave no copy of the platform's metadata.
+	CopyNotRead = Event{Number: 6025, Text: "metadata not had from another entry"}
+	// CopyNotSent tells that a copy of the platform's metadata was not written whole.
+	CopyNotSent = Event{Number: 6026, Text: "metadata not sent to another entry"}
 	// ListRead tells that the whole list of upstreams was read anew.
 	ListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -173,7 +173,7 @@
 		case <-g.urgent:
 		}
 		for range spreadRounds {
-			go g.exchange(ctx, g.targets()...)
+			go g.exchange(ctx, g.Targets()...)
 			time.Sleep(roundPause)
 		}
 		select {
@@ -184,9 +184,9 @@
 	}
 }
 
-// targets draws the entries that are told of urgent news: those that were heard lately, and seeds where
-// there are few.
-func (g *Group) targets() []string {
+// Targets draws entries that are told of urgent news, or asked for some: those that were heard lately, and
+// seeds where there are few.
+func (g *Group) Targets() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []string
