Ask full engines in turn, as many entries do together

Cause: a waiter asked one engine after the other, some 200 a second. In a burst the waiters of 103 entries asked each engine hundreds of times a second, which found no memory sooner (a generation frees it once in half a second at an engine) and took the processor time of small entries. After four engines a line now asks one per pause: all entries together each engine once in 13 ms.

TestFullEnginesAreAskedInTurn was red.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -226,7 +226,7 @@
 		return g.reserve(ctx, m, tokens, life)
 	}
 	s.line = line.NewLine(reserve, g.upstreams.FreeReservation, members,
-		line.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))))
+		line.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), line.WithEntries(g.entries))
 	g.pools[p.Name] = s
 	return s
 }
--- a/router/line/line.go
+++ b/router/line/line.go
@@ -19,6 +19,12 @@
 	// lateInterval is the least pause between two tries for waiters who are late already. Engines
 	// serve all entries alike: those who can be on time at other entries shall find room first.
 	lateInterval = 150 * time.Millisecond
+	// freeTries is the number of engines that a waiter asks one right after the other.
+	freeTries = 4
+	// engineInterval is how far apart all entries together ask an engine that may be full. A generation
+	// holds its memory for some seconds, so memory that came free stays empty for less than a hundredth
+	// of that time.
+	engineInterval = 13 * time.Millisecond
 	// unreachableRecheck is the pause after an engine that gave no answer.
 	unreachableRecheck = 500 * time.Millisecond
 )
@@ -78,6 +84,7 @@
 		members func() []*upstream.Member
 		recheck time.Duration
 		random  *rand.Rand
+		entries func() int
 
 		mu      sync.Mutex
 		waiting []*ticket
@@ -86,6 +93,9 @@
 		drain   drain
 		// lateTry is when a waiter who was late tried last.
 		lateTry time.Time
+		// pace is the pause between two tries beyond the free ones, next when the next one may begin.
+		pace time.Duration
+		next time.Time
 	}
 
 	// Option changes a line.
@@ -125,6 +135,7 @@
 		members: members,
 		recheck: defaultRecheck,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		entries: func() int { return 1 },
 		beliefs: make(map[string]*belief),
 	}
 	for _, opt := range opts {
@@ -143,6 +154,11 @@
 	return func(l *Line) { l.random = random }
 }
 
+// WithEntries sets what tells how many entries ask the same engines.
+func WithEntries(entries func() int) Option {
+	return func(l *Line) { l.entries = entries }
+}
+
 // Wait waits for memory. It returns false when the waiter's time in the line is over or ctx ended; the
 // grant then has only the number of engines that were asked.
 func (l *Line) Wait(ctx context.Context, w Waiter) (Grant, bool) {
@@ -202,8 +218,9 @@
 	rank(l.waiting, now)
 	members := l.members()
 	l.forget(members)
+	l.pace = engineInterval * time.Duration(l.entries()) / time.Duration(max(1, len(members)))
 	for _, t := range l.waiting {
-		if t.trying || t.class(now) == late && now.Sub(l.lateTry) < lateInterval {
+		if t.trying || t.class(now) == late && now.Sub(l.lateTry) < lateInterval || t.tried >= freeTries && now.Before(l.next) {
 			continue
 		}
 		if m := l.choose(t, members, now); m != nil {
@@ -293,6 +310,9 @@
 	if t.class(now) == late {
 		l.lateTry = now
 	}
+	if t.tried >= freeTries {
+		l.next = now.Add(l.pace)
+	}
 	t.trying = true
 	t.tried++
 	l.belief(m.ID).trying = true
@@ -343,6 +363,9 @@
 		return
 	}
 	next := now.Add(l.recheck)
+	if l.next.After(now) && l.next.Before(next) {
+		next = l.next
+	}
 	for _, b := range l.beliefs {
 		if b.refused > 0 && !b.trying && b.retry.After(now) && b.retry.Before(next) {
 			next = b.retry
--- a/router/line/line_test.go
+++ b/router/line/line_test.go
@@ -175,6 +175,52 @@
 	})
 }
 
+// In a burst that fills all engines, the entries together ask each engine once in 13 ms, and memory that
+// comes free is found at once.
+func TestFullEnginesAreAskedInTurn(t *testing.T) {
+	const (
+		entries, engines = 103, 104
+		waiters          = 2 * entries
+		tokens           = 3400
+		burst            = 2 * time.Second
+		apart            = 13 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		free := make(map[string]int, engines)
+		for i := range engines {
+			free[fmt.Sprintf("d%03d", i)] = 0
+		}
+		e := newEngines(free)
+		began := time.Now()
+		var granted time.Time
+		var wg sync.WaitGroup
+		for seed := range uint64(entries) {
+			l := e.line(line.WithRandom(rand.New(rand.NewPCG(seed, 1))), line.WithEntries(func() int { return entries }))
+			for range waiters / entries {
+				w := waiter(tokens)
+				w.Due, w.Patience, w.Expires = began.Add(time.Minute), began.Add(burst), began.Add(burst)
+				wg.Go(func() {
+					if _, ok := l.Wait(t.Context(), w); ok {
+						granted = time.Now()
+					}
+				})
+			}
+		}
+		time.Sleep(burst / 2)
+		freed := time.Now()
+		e.give("d050", tokens)
+		wg.Wait()
+		is.True(granted.Sub(freed) < 100*time.Millisecond)
+		asked := 0
+		for _, n := range e.asked {
+			asked += n
+		}
+		// Four at once for each waiter, the first one in turn of each entry, then one in each interval.
+		is.True(asked <= 4*waiters+entries+int(engines*burst/apart))
+	})
+}
+
 // The number of engines that were asked is told of a refused request too.
 func TestRefusalTellsWhatWasAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
