--- a/router/gateway/body.go
+++ b/router/gateway/body.go
@@ -44,10 +44,11 @@
 
 // readWhole reads the body of an answer. One that breaks off leaves open what ran.
 func (g *Gateway) readWhole(a Answer) ([]byte, Result) {
-	defer a.Body.Release()
-	var body bytes.Buffer
 	taken := int64(0)
+	// Others may take the place of an answer only once it is released.
 	defer func() { g.answers.give(taken) }()
+	defer a.Body.Release()
+	var body bytes.Buffer
 	for {
 		if !g.answers.take(readPiece) {
 			return nil, Unknown{Err: errNoRoom}
