--- a/router/gateway/crash_test.go
+++ b/router/gateway/crash_test.go
@@ -183,7 +183,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := &fake{steps: both(step{after: time.Hour}), gone: tt.gone}
+				f := &fake{steps: both(step{after: time.Hour}), gone: tt.gone, endsOnce: true}
 				g := world(t, f, ingress.NonIdempotent{})
 				for range 3 {
 					g.Serve(t.Context(), request(), &reply{})
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -57,11 +57,13 @@
 		// onBreak is told of each upstream whose answer breaks off.
 		onBreak func(id string)
 		// gone upstreams take no connections.
-		gone   map[string]bool
-		sent   []string
-		afters []string
-		freed  []string
-		left   []time.Duration
+		gone map[string]bool
+		// endsOnce lets gone upstreams take one request each, and refuse connections from then on.
+		endsOnce bool
+		sent     []string
+		afters   []string
+		freed    []string
+		left     []time.Duration
 	}
 
 	// body plays the events of a stream in the runtime's time.
@@ -158,7 +160,11 @@
 func (f *fake) Call(ctx context.Context, m *upstream.Member, _ *gateway.Request, t gateway.Terms) gateway.Result {
 	f.mu.Lock()
 	f.left = append(f.left, t.Left)
+	ended := f.endsOnce && f.gone[m.ID] && slices.Contains(f.sent, m.ID)
 	f.mu.Unlock()
+	if ended {
+		return gateway.NotRun{Reason: gateway.Unreachable, Err: syscall.ECONNREFUSED}
+	}
 	return f.play(ctx, f.take(m.ID))
 }
 
