Count a lost prefill as taken, and other entries' prompts as spread

Cause 1: a prefill whose answer was lost counted as an arrival, so the decode needed a retry. With answers lost at 96 engines retries ran out, and streams were refused after their prompt had been read. The first prefill that an engine takes is no retry, and one whose answer was lost was most likely taken. Cause 2: an entry took its prompts at an engine for those of each of 103 entries at the same engine, and forecast a queue of seconds for one prompt. It now takes others to read as much as it does, spread over all engines.

TestLostPrefillNeedsNoRetry was red.

--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -36,14 +36,14 @@
 			// Without a prefill engine the decode engine reads the prompt itself.
 			return nil, true
 		}
-		if n.readsSooner(m) {
+		if n.readsSooner(m, members) {
 			return nil, true
 		}
 		if refused := n.kept(n.ran); refused != nil {
 			return done{refused}, false
 		}
 		tried[m.ID] = true
-		cache, ok := n.prefillAt(ctx, m)
+		cache, ok := n.prefillAt(ctx, m, members)
 		if ok {
 			terms.Source, terms.Cache = m, cache
 			return nil, true
@@ -55,7 +55,7 @@
 	return n.retryOr("no prefill engine read the prompt"), false
 }
 
-func (n *generation) prefillAt(ctx context.Context, m *upstream.Member) (string, bool) {
+func (n *generation) prefillAt(ctx context.Context, m *upstream.Member, members []*upstream.Member) (string, bool) {
 	tokens := n.request.Generation.PromptTokens
 	m.Begin(tokens)
 	defer m.End(tokens)
@@ -63,7 +63,7 @@
 	n.sent(PromptRead)
 	began := time.Now()
 	terms := n.terms()
-	terms.Patience = n.prefillPatience(m)
+	terms.Patience = n.prefillPatience(m, members)
 	defer func() { n.record.Prefill += time.Since(began) }()
 	try := n.try(m)
 	switch r := n.gateway.upstreams.Prefill(ctx, m, n.request, terms).(type) {
@@ -82,29 +82,44 @@
 		if ctx.Err() == nil {
 			n.note(m, PromptRead, r.Reason, r.Err)
 		}
-		if r.Reason != Unreachable {
-			n.arrived()
-		}
+		n.countFailed(r.Reason)
 	}
 	return "", false
 }
 
+// countFailed counts a prefill that gave no KV cache as a retry. The first one that an engine takes is
+// none, and one whose answer was lost was most likely taken.
+func (n *generation) countFailed(reason NotRunReason) {
+	switch {
+	case reason == Unreachable:
+	case reason == NoAnswer && !n.prefilled:
+		n.prefilled = true
+	default:
+		n.arrived()
+	}
+}
+
 // prefillPatience is how long a prefill engine may take before another one is tried: an engine that
 // went dark must not cost the whole target, one with a queue must not lose its work.
-func (n *generation) prefillPatience(m *upstream.Member) time.Duration {
-	return max(n.route.Target/2, prefillStartups*n.shared.pace.Startup(), queuePatience*n.queue(m, 0))
+func (n *generation) prefillPatience(m *upstream.Member, members []*upstream.Member) time.Duration {
+	return max(n.route.Target/2, prefillStartups*n.shared.pace.Startup(), queuePatience*n.queue(m, members, 0))
 }
 
-// queue is the expected time until a prefill engine has read a further prompt. Other entries are
-// taken to send it as much as this one.
-func (n *generation) queue(m *upstream.Member, prompt int) time.Duration {
-	return n.shared.pace.Prefill(n.gateway.entries()*m.Load().Tokens + prompt)
+// queue is the expected time until a prefill engine has read a further prompt. Each other entry is
+// taken to read as many prompts as this one, spread over all prefill engines.
+func (n *generation) queue(m *upstream.Member, members []*upstream.Member, prompt int) time.Duration {
+	own := 0
+	for _, other := range members {
+		own += other.Load().Tokens
+	}
+	others := (n.gateway.entries() - 1) * own / max(1, len(members))
+	return n.shared.pace.Prefill(m.Load().Tokens + others + prompt)
 }
 
 // readsSooner reports whether the decode engine should read the prompt itself, as the prefill engine
 // with the shortest queue would make it late. It answers lost prefill engines and long bursts.
-func (n *generation) readsSooner(m *upstream.Member) bool {
+func (n *generation) readsSooner(m *upstream.Member, members []*upstream.Member) bool {
 	prompt := n.request.Generation.PromptTokens
-	wait := n.queue(m, prompt)
+	wait := n.queue(m, members, prompt)
 	return wait > time.Duration(backlogFactor*float64(n.route.Target)) && n.shared.pace.Prefill(selfReadFactor*prompt) < wait
 }
--- a/router/gateway/prefill_test.go
+++ b/router/gateway/prefill_test.go
@@ -83,3 +83,40 @@
 		is.True(late <= 2)
 	})
 }
+
+// The answer of a prefill is lost while no retry is left. The engine has most likely taken it, so it is no
+// retry, and the decode engine reads the prompt itself.
+func TestLostPrefillNeedsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{prefills: prefills(gateway.PrefillFailed{Err: errBroken})}
+		g := world(t, f, ingress.Streaming{}, gateway.WithRetryRatio(0))
+		is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "answered")
+		is.Equal(len(f.sends()), 2) // one prefill, one decode
+	})
+}
+
+// Where entries are many, a prompt of this one is not taken for one of each at the same engine.
+func TestOwnPromptIsNotEverybodys(t *testing.T) {
+	const each = 90 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fake{prefillTime: each}
+		g := world(t, f, ingress.Streaming{}, gateway.WithRetryRatio(0.5), gateway.WithEntries(func() int { return 8 }))
+		earn(t, g, 20)
+		f.reset(nil)
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { is.Equal(outcome(g.Serve(t.Context(), request(), &reply{})), "answered") })
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		reads := 0
+		for _, id := range f.sends() {
+			if id == "p1" || id == "p2" {
+				reads++
+			}
+		}
+		is.Equal(reads, 3)
+	})
+}
