Keep the upstreams of each role in order

Cause: each choice filtered and sorted all upstreams. The order and the content of the lists are as before.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 	Directory struct {
 		mu      sync.RWMutex
 		members map[string]*Member
+		// serving are the members that take work, by pool and phase, ordered by ID. It is built anew
+		// when a member has changed; nil: one has.
+		serving map[role][]*Member
 		// lapsed holds when members that the source lost in an outage are dropped.
 		lapsed map[string]time.Time
 		away   bool
@@ -30,6 +34,12 @@
 
 	// Option changes a directory.
 	Option func(*Directory)
+
+	// role is what a member does.
+	role struct {
+		pool  string
+		phase Phase
+	}
 )
 
 // NewDirectory returns an empty directory.
@@ -91,6 +101,7 @@
 // are known to have ended by it. The caller holds the lock.
 func (d *Directory) put(u Upstream) (bool, []Upstream) {
 	delete(d.lapsed, u.ID)
+	d.serving = nil
 	old, found := d.members[u.ID]
 	switch {
 	case found && u.Started.Before(old.Started) && !u.Started.IsZero():
@@ -134,6 +145,7 @@
 
 // drop forgets a member. The caller holds the lock.
 func (d *Directory) drop(id string) {
+	d.serving = nil
 	delete(d.members, id)
 	delete(d.lapsed, id)
 }
@@ -207,37 +219,68 @@
 
 // Ready returns the members of a pool and phase that may get new work, ordered by ID.
 func (d *Directory) Ready(pool string, phase Phase, now time.Time) []*Member {
-	return d.filter(func(m *Member) bool { return m.serves(pool, phase) && m.usable(now) })
+	return keep(d.roles(role{pool, phase}), func(m *Member) bool { return m.usable(now) })
 }
 
 // Published returns the members of a pool and phase that are not leaving, ejected or not.
 func (d *Directory) Published(pool string, phase Phase) []*Member {
-	return d.filter(func(m *Member) bool { return m.serves(pool, phase) && !m.isGone() })
+	return keep(d.roles(role{pool, phase}), func(m *Member) bool { return !m.isGone() })
 }
 
-func (d *Directory) filter(keep func(*Member) bool) []*Member {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
+func keep(members []*Member, wanted func(*Member) bool) []*Member {
 	var kept []*Member
-	for _, m := range d.members {
-		if keep(m) {
+	for _, m := range members {
+		if wanted(m) {
 			kept = append(kept, m)
 		}
 	}
-	slices.SortFunc(kept, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
 	return kept
 }
 
-func (m *Member) serves(pool string, phase Phase) bool {
-	return m.Pool == pool && m.Phase == phase && !m.Draining
+// roles returns the members of a role that are not draining, ordered by ID. Each request asks several times,
+// while members change some times a second at most.
+func (d *Directory) roles(r role) []*Member {
+	d.mu.RLock()
+	serving := d.serving
+	d.mu.RUnlock()
+	if serving == nil {
+		serving = d.index()
+	}
+	return serving[r]
+}
+
+func (d *Directory) index() map[role][]*Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.serving != nil {
+		return d.serving
+	}
+	d.serving = make(map[role][]*Member)
+	for _, m := range d.sorted() {
+		if !m.Draining {
+			r := role{m.Pool, m.Phase}
+			d.serving[r] = append(d.serving[r], m)
+		}
+	}
+	return d.serving
+}
+
+// sorted returns all members, ordered by ID. The caller holds the lock.
+func (d *Directory) sorted() []*Member {
+	return slices.SortedFunc(maps.Values(d.members), func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // Failing returns the IDs of the upstreams that this process has ejected for their failures.
 func (d *Directory) Failing(now time.Time) []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
 	var ids []string
-	for _, m := range d.filter(func(m *Member) bool { return m.failing(now) }) {
-		ids = append(ids, m.ID)
+	for _, m := range d.members {
+		if m.failing(now) {
+			ids = append(ids, m.ID)
+		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -197,3 +198,20 @@
 		})
 	}
 }
+
+// BenchmarkReady is what each request asks of a directory of the target size, several times.
+func BenchmarkReady(b *testing.B) {
+	for name, servers := range map[string]int{"165": 165, "2100": 2100} {
+		b.Run(name, func(b *testing.B) {
+			d := upstream.NewDirectory()
+			for i := range servers {
+				d.Put(upstream.Upstream{ID: fmt.Sprintf("i-%04d", i), Pool: "chat", Phase: upstream.Phase(1 + i%2)})
+			}
+			now := time.Now()
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Ready("chat", upstream.PhaseDecode, now)
+			}
+		})
+	}
+}
