--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -20,6 +20,8 @@
 	Directory struct {
 		mu      sync.RWMutex
 		members map[string]*Member
+		// published are the IDs of the members that were published at an address.
+		published map[string][]string
 		// serving are the members that take work, by pool and phase, ordered by ID. It is built anew
 		// when a member has changed; nil: one has.
 		serving map[role][]*Member
@@ -44,7 +46,12 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(opts ...Option) *Directory {
-	d := &Directory{members: make(map[string]*Member), lapsed: make(map[string]time.Time), ended: func(Upstream) {}}
+	d := &Directory{
+		members:   make(map[string]*Member),
+		published: make(map[string][]string),
+		lapsed:    make(map[string]time.Time),
+		ended:     func(Upstream) {},
+	}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -70,9 +77,10 @@
 // was published late, after its successor, gets no work. The caller holds the lock.
 func (d *Directory) succeed(next *Member) []Upstream {
 	var ended []Upstream
-	for _, m := range d.members {
+	for _, id := range d.published[next.Address] {
+		m := d.members[id]
 		switch {
-		case m.Address != next.Address, m.ID == next.ID, m.Started.IsZero(), next.Started.IsZero():
+		case m.ID == next.ID, m.Started.IsZero(), next.Started.IsZero():
 		case m.Started.After(next.Started):
 			next.Replaced()
 		case m.Started.Before(next.Started):
@@ -112,8 +120,10 @@
 		ended := d.succeed(next)
 		if found {
 			ended = append(ended, old.end()...)
+			d.unpublish(old)
 		}
 		d.members[u.ID] = next
+		d.published[u.Address] = append(d.published[u.Address], u.ID)
 		return true, ended
 	case old.Upstream == u:
 		return false, nil
@@ -146,10 +156,21 @@
 // drop forgets a member. The caller holds the lock.
 func (d *Directory) drop(id string) {
 	d.serving = nil
+	d.unpublish(d.members[id])
 	delete(d.members, id)
 	delete(d.lapsed, id)
 }
 
+// unpublish takes a member from those at its address. The caller holds the lock.
+func (d *Directory) unpublish(m *Member) {
+	left := slices.DeleteFunc(d.published[m.Address], func(id string) bool { return id == m.ID })
+	if len(left) == 0 {
+		delete(d.published, m.Address)
+		return
+	}
+	d.published[m.Address] = left
+}
+
 func (d *Directory) lapse(id string, now time.Time) {
 	if _, found := d.lapsed[id]; found {
 		return
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -215,3 +215,19 @@
 		})
 	}
 }
+
+// BenchmarkReplace is what an entry that starts makes of the whole list.
+func BenchmarkReplace(b *testing.B) {
+	for name, servers := range map[string]int{"165": 165, "3000": 3000} {
+		b.Run(name, func(b *testing.B) {
+			var all []upstream.Upstream
+			for i := range servers {
+				all = append(all, upstream.Upstream{ID: fmt.Sprintf("i-%04d", i), Pool: "chat", Address: fmt.Sprintf("10.0.0.1:%d", i), Started: start})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				upstream.NewDirectory().Replace(all, start)
+			}
+		})
+	}
+}
