--- a/router/formation/formation.go
+++ b/router/formation/formation.go
@@ -18,11 +18,15 @@
 	// interval is the pause between two looks at the directory.
 	interval = 250 * time.Millisecond
 	// settleTime and the time between two reads of the directory's source are how long the directory must
-	// not have grown: engines of a fleet that starts publish themselves within half a second of each other.
+	// not have grown: engines of a fleet that starts publish themselves one shortly after the other.
 	settleTime = 700 * time.Millisecond
-	// window is how long after the start engines are turned: a new fleet serves after some ten
-	// seconds, and an engine needs six to turn.
-	window = 5 * time.Second
+	// window is how long after the start engines are turned. A new fleet of a few VMs serves after ten
+	// seconds and knows its engines after two; one of hundreds serves after fourteen and knows them
+	// after five. An engine needs six to turn.
+	window = 8 * time.Second
+	// staffing times the root of a pool's engines is the number of engines that prefill beyond their share.
+	// A few engines need more to spare than many: the work of each varies, that of all together hardly does.
+	staffing = 0.51
 	// orderTimeout bounds the answer to an order, which engines give at once.
 	orderTimeout = time.Second
 )
@@ -101,13 +105,14 @@
 	}
 }
 
-// Surplus returns the prefill engines of a pool beyond a share of all its engines, at least one of
-// which stays. The result is the same for every process that knows the same engines.
+// Surplus returns the prefill engines of a pool beyond a share of all its engines and what few engines need
+// to spare. The result is the same for every process that knows the same engines.
 func Surplus(prefill []*upstream.Member, decode int, share float64) []*upstream.Member {
 	if share <= 0 || len(prefill) == 0 {
 		return nil
 	}
-	keep := max(1, int(math.Round(share*float64(len(prefill)+decode))))
+	engines := float64(len(prefill) + decode)
+	keep := int(math.Ceil(share*engines + staffing*math.Sqrt(engines)))
 	if keep >= len(prefill) {
 		return nil
 	}
