Try an engine that nobody has told of before the first known one gets all streams

An unknown engine now gets one stream first; if it refuses that, known ones come first again.

TestUnknownEngineGetsAStream was red.

--- a/router/decode/chooser.go
+++ b/router/decode/chooser.go
@@ -1,6 +1,7 @@
 package decode
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,6 +42,8 @@
 	upstream struct {
 		hint   Hint
 		hinted bool
+		// tried tells that the engine got a stream before anybody had told of it.
+		tried bool
 		// recent are the chooser's own choices, which a late hint does not count.
 		recent []change
 		// taken sums them up.
@@ -152,7 +155,9 @@
 	}
 	best, found := c.roomiest(narrow(c.strategy, usable, c.random), now)
 	if found {
-		c.upstream(best).add(change{at: now, pieces: pieces, streams: 1})
+		u := c.upstream(best)
+		u.tried = true
+		u.add(change{at: now, pieces: pieces, streams: 1})
 	}
 	return best, found
 }
@@ -212,11 +217,20 @@
 	return u.hint.Limit == 0 || u.room(life, now) >= minRoom
 }
 
+// unknownRoom is the room of an engine that nobody has told of: it gets one stream, whose reservation tells
+// of it. If that is refused, engines that are known come first.
+func (u *upstream) unknownRoom() float64 {
+	if u.tried {
+		return -float64(u.taken.streams)
+	}
+	return math.Inf(1)
+}
+
 // room is the expected number of free streams. A hint loses weight with age: of the
 // streams that it counts, some have ended since.
 func (u *upstream) room(life time.Duration, now time.Time) float64 {
 	if !u.hinted {
-		return -float64(u.taken.streams)
+		return u.unknownRoom()
 	}
 	if u.hint.Limit == 0 {
 		return float64(u.hint.FreePieces - u.taken.pieces)
--- a/router/decode/decode_test.go
+++ b/router/decode/decode_test.go
@@ -178,3 +178,22 @@
 		m.Release("a")
 	}
 }
+
+// The first engine that a process hears of does not get all streams: an engine that it knows nothing of gets
+// one, which tells of it.
+func TestUnknownEngineGetsAStream(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		c := decode.NewChooser(rand.New(rand.NewPCG(seed, 1)))
+		engines := []string{"a", "b"}
+		first, _ := c.Choose(1, engines, nil, start)
+		c.Observe(decode.Hint{Upstream: first, FreePieces: 60, Running: 1, Limit: 8, Accepting: true, At: start})
+		second, _ := c.Choose(1, engines, nil, start)
+		is.True(second != first)
+		third, _ := c.Choose(1, engines, nil, start)
+		is.Equal(third, first)      // nobody has told of the second one yet
+		c.Release(second, 1, start) // it refused the stream
+		fourth, _ := c.Choose(1, engines, nil, start)
+		is.Equal(fourth, first)
+	}
+}
