--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -53,6 +53,10 @@
 	MetadataReadFailed = Event{Number: 6025, Text: "reading metadata from another entry failed"}
 	// MetadataSendFailed is logged when a copy of the platform's metadata was not sent completely to another entry.
 	MetadataSendFailed = Event{Number: 6026, Text: "sending metadata to another entry failed"}
+	// UpstreamLimitChanged is logged when an upstream states another limit for the requests of all entries together.
+	UpstreamLimitChanged = Event{Number: 6027, Text: "upstream limit changed"}
+	// UpstreamLimitInvalid is logged when an upstream states a limit that cannot be read.
+	UpstreamLimitInvalid = Event{Number: 6028, Text: "upstream limit invalid"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -82,7 +82,7 @@
 		case connectionRefused(err):
 			g.UpstreamTerminated(m.Upstream)
 		case isTimeout(err):
-			g.crashes.notifyIfUrgent(g.crashes.tracker.Unreachable(incarnationName(m.Upstream), time.Now()))
+			g.crashes.notifyIfUrgent(g.crashes.tracker.Unreachable(m.Incarnation(), time.Now()))
 		}
 		g.logEjection(m, m.Unreachable(time.Now()), err)
 	}
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -59,17 +59,9 @@
 	}
 }
 
-// incarnationName returns a name for one run of the upstream's process.
-func incarnationName(u upstream.Upstream) string {
-	if u.Started.IsZero() {
-		return u.ID
-	}
-	return u.ID + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
-}
-
 // newAttempt returns the record of a send of the request to an upstream that begins now.
 func (ar *activeRequest) newAttempt(m *upstream.Member) quarantine.Attempt {
-	return quarantine.Attempt{Upstream: incarnationName(m.Upstream), Contents: ar.contents, SentAt: time.Now()}
+	return quarantine.Attempt{Upstream: m.Incarnation(), Contents: ar.contents, SentAt: time.Now()}
 }
 
 // refuseQuarantined refuses a request whose content is quarantined. It returns nil if the request may be
@@ -179,7 +171,7 @@
 // UpstreamTerminated records that the process of an upstream has terminated. The content of its requests without a
 // complete answer becomes suspect.
 func (g *Gateway) UpstreamTerminated(u upstream.Upstream) {
-	name := incarnationName(u)
+	name := u.Incarnation()
 	suspected := g.crashes.tracker.Terminated(name, time.Now())
 	if len(suspected) > 0 {
 		g.reportSuspected(name, suspected)
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -65,6 +65,14 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
+// CountLimits adds a gauge of the upstreams that limit the requests of all entries together.
+func (s *Set) CountLimits(count func() int) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gooseberry_limited_upstreams",
+		Help: "Upstreams that state a limit for the requests of all entries together.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // Handler returns a handler that serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"strconv"
 	"sync"
 	"time"
 )
@@ -92,6 +93,14 @@
 	return "unknown"
 }
 
+// Incarnation returns a name for one run of the upstream's process.
+func (u Upstream) Incarnation() string {
+	if u.Started.IsZero() {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
+}
+
 // Begin adds a request and its KV cache memory, in tokens, to the load in flight.
 func (h *History) Begin(tokens int) {
 	h.mu.Lock()
