Keep the limits of upstreams over all entries together

Cause: no entry acted on the limit. An entry that keeps it alone would not have been enough: four entries may then send four times as much. The class is a capacity that all entries share and each one applies alone.

Each quota now has one owner: the live entry with the highest random weight for the upstream. Before each send (call, retry, hedge, send after a rejection, prefill, reservation with its decode) an entry takes a request of the quota, from the owner when it has none. The owner grants from one token bucket, so the sum is the limit whatever the load of single entries. Limits are passed on with the gossip, a new one at once. Where no upstream may take a request it is refused at once, with when to return.

--- a/router/adapter/member/member.go
+++ b/router/adapter/member/member.go
@@ -79,11 +79,11 @@
 }
 
 func toMessage(update membership.Update) *fleetv1.News {
-	return &fleetv1.News{Members: toMessages(update.Members), Suspects: wire.FromSuspects(update.Suspects), Ejected: update.Ejected}
+	return &fleetv1.News{Members: toMessages(update.Members), Suspects: wire.FromSuspects(update.Suspects), Ejected: update.Ejected, Limits: toLimits(update.Limits)}
 }
 
 func fromMessage(m *fleetv1.News) membership.Update {
-	return membership.Update{Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected()}
+	return membership.Update{Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected(), Limits: fromLimits(m.GetLimits())}
 }
 
 func toMessages(members []membership.Member) []*fleetv1.Member {
--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -13,6 +13,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/membership"
 	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/quota"
 )
 
 const (
@@ -41,6 +42,12 @@
 			Fingerprint: strings.Repeat("f", 16), Crashes: []string{fmt.Sprintf("i-%010x@1790000000123", i), "i-0123456789@1790000000123"}, Remaining: 10 * time.Minute,
 		})
 	}
+	for i := range 32 {
+		now := time.Now()
+		update.Limits = append(update.Limits, quota.Limit{
+			Upstream: fmt.Sprintf("i-%010x@1790000000123", i), Stated: true, PerSecond: 123.4, Since: now.Add(-time.Hour), Observed: now.Add(-time.Minute),
+		})
+	}
 	return update
 }
 
--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -57,6 +57,10 @@
 	UpstreamLimitChanged = Event{Number: 6027, Text: "upstream limit changed"}
 	// UpstreamLimitInvalid is logged when an upstream states a limit that cannot be read.
 	UpstreamLimitInvalid = Event{Number: 6028, Text: "upstream limit invalid"}
+	// QuotaOwnerLost is logged when the entry that grants the requests to a limited upstream did not answer.
+	QuotaOwnerLost = Event{Number: 6029, Text: "quota owner unreachable"}
+	// QuotaOwnerFound is logged when the entry that grants the requests to a limited upstream answers again.
+	QuotaOwnerFound = Event{Number: 6030, Text: "quota owner reachable"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -8,6 +8,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/upstream"
@@ -100,8 +101,12 @@
 	g.log.Error(err, event.UpstreamEjected, "upstream", m.ID, "address", m.Address, "pause_ms", pause.Milliseconds())
 }
 
-// reserve requests memory at a decode engine. After a failed request, the engine is recorded as unreachable.
+// reserve requests memory at a decode engine. After a failed request, the engine is recorded as unreachable. Against the
+// limit of the engine, the reservation and the decode that uses it count as one request.
 func (g *Gateway) reserve(ctx context.Context, m *upstream.Member, tokens int, life time.Duration) reservation.Outcome {
+	if denied, ok := g.quota.Take(ctx, m.Incarnation()).(quota.Denied); ok {
+		return reservation.Limited{RetryAfter: denied.RetryAfter}
+	}
 	outcome := g.upstreams.Reserve(ctx, m, tokens, life)
 	if f, failed := outcome.(reservation.Failed); failed && ctx.Err() == nil {
 		g.recordFailure(m, Unreachable, f.Err)
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -45,7 +45,10 @@
 	tried := make(map[string]bool)
 	var failure *callResult
 	running, ran, notRun := 0, 0, 0
-	if !ar.send(ctx, FirstTry, tried, results) {
+	if sent, limited := ar.send(ctx, FirstTry, tried, results); !sent {
+		if limited > 0 {
+			return ar.refuseLimited(refusal.RanNo, limited)
+		}
 		return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetryAfter, "no upstream in %s", ar.pool.Name)
 	}
 	running++
@@ -56,7 +59,7 @@
 		case <-ctx.Done():
 			return ar.contextRefusal(ctx, refusal.RanUnknown)
 		case <-hedge.C:
-			if repeatable && ran+running < ar.route.MaxAttempts && ar.refuseQuarantined(refusal.RanNo) == nil && ar.poolState.retryBudget.Allow() && ar.send(ctx, Hedge, tried, results) {
+			if repeatable && ran+running < ar.route.MaxAttempts && ar.refuseQuarantined(refusal.RanNo) == nil && ar.poolState.retryBudget.Allow() && ar.resend(ctx, Hedge, tried, results) {
 				running++
 			}
 		case c := <-results:
@@ -81,7 +84,7 @@
 				}
 				resend = repeatable && ran+running < ar.route.MaxAttempts && running == 0
 			}
-			if resend && ar.refuseQuarantined(refusal.RanNo) == nil && ar.allowRetry(c.result) && ar.send(ctx, reason, tried, results) {
+			if resend && ar.refuseQuarantined(refusal.RanNo) == nil && ar.allowRetry(c.result) && ar.resend(ctx, reason, tried, results) {
 				running++
 			}
 		}
@@ -107,12 +110,18 @@
 	return ar.route.TargetLatency / 2
 }
 
+// resend starts a further send. It returns false if no upstream is left that takes the request.
+func (ar *activeRequest) resend(ctx context.Context, reason SendReason, tried map[string]bool, results chan<- callResult) bool {
+	sent, _ := ar.send(ctx, reason, tried, results)
+	return sent
+}
+
 // send starts a send to an upstream that was not tried yet, and later puts its result into the channel. It
-// returns false if there is no such upstream.
-func (ar *activeRequest) send(ctx context.Context, reason SendReason, tried map[string]bool, results chan<- callResult) bool {
-	m := ar.gateway.pick(chooseService, ar.gateway.services(ar.pool.Name), ar.gateway.dataCentre, tried)
+// returns false if there is no such upstream. If all of them are limited, it also returns for how long.
+func (ar *activeRequest) send(ctx context.Context, reason SendReason, tried map[string]bool, results chan<- callResult) (bool, time.Duration) {
+	m, limited := ar.acquireService(ctx, tried)
 	if m == nil {
-		return false
+		return false, limited
 	}
 	tried[m.ID] = true
 	ar.record.Upstream = m.ID
@@ -129,7 +138,7 @@
 		ar.recordOutcome(ctx, c)
 		results <- c
 	}()
-	return true
+	return true, 0
 }
 
 // recordOutcome updates the suspicion against the content and the health of the upstream after a send. The
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -55,6 +55,7 @@
 		crashes        *crashDetector
 		notifySuspects func()
 		answerMemory   byteBudget
+		quota          Quota
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -97,6 +98,7 @@
 		entries:        func() int { return 1 },
 		notifySuspects: func() {},
 		answerMemory:   byteBudget{limit: defaultAnswerBytes},
+		quota:          unlimited{},
 		random:         rand.New(rand.NewPCG(1, 1)),
 		pools:          make(map[string]*poolState),
 	}
@@ -148,6 +150,11 @@
 	return func(g *Gateway) { g.notifySuspects = notify }
 }
 
+// WithQuota sets what decides whether requests may be sent to upstreams that limit the requests of all entries together.
+func WithQuota(q Quota) Option {
+	return func(g *Gateway) { g.quota = q }
+}
+
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option {
 	return func(g *Gateway) { g.random = rand.New(rand.NewPCG(seed, seed)) }
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -160,6 +160,9 @@
 	if len(n.gateway.directory.Published(n.pool.Name, upstream.PhaseDecode)) == 0 {
 		return n.serveWithoutPhases(ctx)
 	}
+	if limited := n.limitedBeyondWait(began); limited > 0 {
+		return done{n.refuseLimited(n.ran, limited)}
+	}
 	grant, ok := n.acquireMemory(ctx)
 	n.record.MemoryWait += time.Since(began)
 	n.record.Reserves += grant.Attempts
@@ -191,6 +194,23 @@
 	return n.decode(ctx, grant.Member, options, began)
 }
 
+// limitedBeyondWait returns the time until a decode engine may take a request, if the limits of all of them are used up
+// for longer than the generation may wait. Otherwise it returns 0.
+func (n *generation) limitedBeyondWait(now time.Time) time.Duration {
+	if n.heldGrant != nil {
+		return 0
+	}
+	w := n.waiter()
+	if n.resuming {
+		w = n.resumeWaiter(now, n.avoid)
+	}
+	limited := n.gateway.allLimited(n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, now))
+	if now.Add(limited).Before(w.Expires) {
+		return 0
+	}
+	return limited
+}
+
 // acquireMemory returns the memory that the stall monitor acquired, or waits in the queue for memory. It
 // returns false if the wait ended without memory.
 func (n *generation) acquireMemory(ctx context.Context) (reservation.Grant, bool) {
@@ -385,7 +405,10 @@
 // serveWithoutPhases serves a generation in a pool whose upstreams do not separate prefill and decode. It
 // reserves no memory and sends no prefill.
 func (n *generation) serveWithoutPhases(ctx context.Context) roundOutcome {
-	m := n.gateway.pick(chooseService, n.gateway.services(n.pool.Name), n.gateway.dataCentre, map[string]bool{n.avoid: true})
+	m, limited := n.acquireService(ctx, map[string]bool{n.avoid: true})
+	if limited > 0 {
+		return done{n.refuseLimited(n.ran, limited)}
+	}
 	if m == nil {
 		return done{refusal.New(n.ran, refusal.NoUpstream, noUpstreamRetryAfter, "no decode engine in %s", n.pool.Name)}
 	}
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reservationLife(n.pool)-reservationMargin)
 	defer cancel()
 	tried := make(map[string]bool)
-	for prefills := range maxPrefills {
+	for prefills := 0; prefills < maxPrefills; {
 		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
 		m := n.gateway.pick(choosePrefill, members, grant.Member.DataCentre, tried)
 		if m == nil || prefills > 0 && !n.reserveRetries(1) {
@@ -47,6 +47,10 @@
 			return done{refused}, false
 		}
 		tried[m.ID] = true
+		if n.takeQuota(ctx, m) > 0 {
+			continue
+		}
+		prefills++
 		cache, ok := n.prefillAt(ctx, m, members)
 		if ok {
 			options.Source, options.Cache = m, cache
--- /dev/null
+++ b/router/gateway/quota.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"gooseberrypin.example/router/quota"
+	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/upstream"
+)
+
+type (
+	// Quota decides whether requests may be sent to upstreams that limit the requests of all entries together.
+	Quota interface {
+		// Take decides for one request to an incarnation of an upstream. An allowed request counts against the limit.
+		Take(ctx context.Context, incarnation string) quota.Decision
+		// RetryAfter returns how long no request may be sent to an incarnation, without taking any.
+		RetryAfter(incarnation string) time.Duration
+	}
+
+	// unlimited is a Quota without limits.
+	unlimited struct{}
+)
+
+// Take implements Quota.
+func (unlimited) Take(context.Context, string) quota.Decision { return quota.Allowed{} }
+
+// RetryAfter implements Quota.
+func (unlimited) RetryAfter(string) time.Duration { return 0 }
+
+// acquireService picks a plain service that was not tried and whose limit allows the request. If the limits of all of
+// them are used up, it returns nil and the time until the first one may take a request again. If there is no service
+// left, it returns nil and 0.
+func (ar *activeRequest) acquireService(ctx context.Context, tried map[string]bool) (*upstream.Member, time.Duration) {
+	members, retryAfter := ar.gateway.services(ar.pool.Name), time.Duration(0)
+	excluded, copied := tried, false
+	for {
+		m := ar.gateway.pick(chooseService, members, ar.gateway.dataCentre, excluded)
+		if m == nil {
+			return nil, retryAfter
+		}
+		denied := ar.takeQuota(ctx, m)
+		if denied == 0 {
+			return m, 0
+		}
+		if !copied {
+			excluded, copied = maps.Clone(tried), true
+		}
+		excluded[m.ID] = true
+		if retryAfter == 0 || denied < retryAfter {
+			retryAfter = denied
+		}
+	}
+}
+
+// takeQuota takes a request of an upstream's limit. It returns 0 if the request may be sent, and otherwise how long the
+// upstream takes none from this entry.
+func (ar *activeRequest) takeQuota(ctx context.Context, m *upstream.Member) time.Duration {
+	switch d := ar.gateway.quota.Take(ctx, m.Incarnation()).(type) {
+	case quota.Allowed:
+		return 0
+	case quota.Denied:
+		ar.record.Limited++
+		return max(d.RetryAfter, time.Millisecond)
+	}
+	return 0
+}
+
+// refuseLimited refuses a request because the limits of all upstreams are used up for a time.
+func (ar *activeRequest) refuseLimited(ran refusal.Ran, retryAfter time.Duration) *refusal.Refusal {
+	return refusal.New(ran, refusal.Overloaded, ar.gateway.spread(retryAfter), "all upstreams of %s take no more requests for %v", ar.pool.Name, retryAfter.Round(time.Millisecond))
+}
+
+// spread extends a retry delay by up to as much again, so that callers do not return at the same time.
+func (g *Gateway) spread(retryAfter time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return retryAfter + time.Duration(g.random.Float64()*float64(retryAfter))
+}
+
+// allLimited returns the time until the first of the upstreams may take a request, as far as this entry knows. It is 0
+// if one of them may take a request now, or if there are none.
+func (g *Gateway) allLimited(members []*upstream.Member) time.Duration {
+	shortest := time.Duration(0)
+	for _, m := range members {
+		wait := g.quota.RetryAfter(m.Incarnation())
+		if wait == 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -33,6 +33,8 @@
 		Source string
 		// Sends counts the requests that were sent to upstreams.
 		Sends Sends
+		// Limited counts the upstreams that were passed over because their limits were used up.
+		Limited int
 		// Reserves counts the requests for memory at decode engines.
 		Reserves int
 		// SinceFirstTry is the time from the first attempt of a request that was refused before to the arrival
@@ -87,7 +89,7 @@
 func (g *Gateway) logRequest(r Record) {
 	fields := []any{
 		"request", r.Request.ID, "route", r.RouteName(), "pool", r.Pool, "version", r.Version,
-		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends.Total(),
+		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends.Total(), "limited", r.Limited,
 		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events,
 		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumptions, "spent_ms", r.SinceFirstTry.Milliseconds(),
 		"waited_ms", r.MemoryWait.Milliseconds(), "prefill_ms", r.PrefillTime.Milliseconds(), "first_ms", r.TimeToFirstByte.Milliseconds(), "took_ms", r.Took.Milliseconds(),
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -13,6 +13,8 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/periodic"
 	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/quota"
+	"gooseberrypin.example/router/rendezvous"
 )
 
 const (
@@ -57,6 +59,8 @@
 		Suspects []quarantine.Suspect
 		// Ejected are the IDs of the upstreams that the sender itself has ejected because of failures.
 		Ejected []string
+		// Limits are the limits of upstreams that the sender knows.
+		Limits []quota.Limit
 	}
 
 	// Peers sends updates to other entries.
@@ -90,6 +94,8 @@
 		random *rand.Rand
 		// stableRounds counts the answered rounds since a new member was found.
 		stableRounds int
+		// connected is whether this entry has exchanged updates with another one since its start.
+		connected bool
 	}
 
 	// Option configures a group.
@@ -231,6 +237,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.connected = true
 	g.merge(update.Members)
 }
 
@@ -262,6 +269,32 @@
 	return g.table.countLive(time.Now(), g.scaledHeartbeatTimeout())
 }
 
+// KnownCount returns the number of entries that may be running, this one included.
+func (g *Group) KnownCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.countNotLeft()
+}
+
+// Owner returns the address of the live entry that owns a name: the one with the highest random weight. Entries with
+// the same live members choose the same owner. An entry that leaves owns nothing, nor does one that has seeds and has
+// not reached any other entry. Owner returns the empty string if there is no owner.
+func (g *Group) Owner(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	timeout, now := g.scaledHeartbeatTimeout(), time.Now()
+	candidates := make([]string, 0, len(g.table.known)+1)
+	if !g.table.self.Left && (g.connected || len(g.seeds) == 0) {
+		candidates = append(candidates, g.table.self.Address)
+	}
+	for _, r := range g.table.known {
+		if !r.Left && now.Sub(r.lastHeartbeat) < timeout {
+			candidates = append(candidates, r.Address)
+		}
+	}
+	return rendezvous.Winner(name, candidates)
+}
+
 // scaledHeartbeatTimeout returns heartbeatTimeout, extended for fleets in which an exchange carries only a
 // part of the members, where heartbeats take longer. The caller holds the lock.
 func (g *Group) scaledHeartbeatTimeout() time.Duration {
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/quota"
 )
 
 const (
@@ -34,6 +35,7 @@
 		memoryWait  *prometheus.HistogramVec
 		hopDuration *prometheus.HistogramVec
 		sends       *prometheus.CounterVec
+		quotas      *prometheus.CounterVec
 		servedCount atomic.Int64
 		routes      routeLabels
 	}
@@ -56,8 +58,12 @@
 			Name: "gooseberry_sends_total",
 			Help: "What was sent to upstreams by pool and hop: first, prefill, after_not_run, retry, hedge, resume; reserve for reservations.",
 		}, []string{"pool", "hop"}),
+		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberry_quota_requests_total",
+			Help: "Attempts to send to upstreams with a limit by outcome: granted or refused by the quota's owner, share_granted or share_refused without it.",
+		}, []string{"outcome"}),
 	}
-	s.registry.MustRegister(s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
+	s.registry.MustRegister(s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
 	return s
 }
 
@@ -65,6 +71,11 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
+// Quota counts an attempt to send a request to an upstream with a limit.
+func (s *Set) Quota(o quota.Outcome) {
+	s.quotas.WithLabelValues(string(o)).Inc()
+}
+
 // CountLimits adds a gauge of the upstreams that limit the requests of all entries together.
 func (s *Set) CountLimits(count func() int) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/router/quota/table.go
+++ b/router/quota/table.go
@@ -96,11 +96,9 @@
 	return l, found
 }
 
-// Forget removes the limit of an incarnation that has terminated.
-func (t *Table) Forget(upstream string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.limits, upstream)
+// End ends the limit of an incarnation that has terminated.
+func (t *Table) End(upstream string, now time.Time) {
+	t.Observe(upstream, Unlimited{}, now)
 }
 
 // Limits returns all limits that are in force, the most recently observed first.
--- a/router/quota/table_test.go
+++ b/router/quota/table_test.go
@@ -38,8 +38,10 @@
 	start := time.Unix(1000, 0)
 	limits := quota.NewTable(event.Discard())
 	limits.Observe("a@1", quota.Limited{PerSecond: 3}, start)
-	limits.Forget("a@1")
-	_, found := limits.Limit("a@1")
-	is.True(!found)
+	limits.End("a@1", start.Add(time.Second))
+	is.Equal(len(limits.Limits()), 0)
+	// Another entry has not noticed the end of the incarnation yet.
+	stale := quota.Limit{Upstream: "a@1", Stated: true, PerSecond: 3, Since: start, Observed: start}
+	is.True(!limits.Merge([]quota.Limit{stale}, "b", start.Add(2*time.Second)))
 	is.True(limits.Observe("a@2", quota.Limited{PerSecond: 4}, start.Add(time.Second)))
 }
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -59,7 +59,7 @@
 		Attempts int
 	}
 
-	// Outcome is the result of a reservation attempt: Reserved, Full or Failed.
+	// Outcome is the result of a reservation attempt: Reserved, Full, Limited or Failed.
 	//
 	//sumtype:decl
 	Outcome interface{ outcome() }
@@ -70,6 +70,9 @@
 	// Full is the outcome when the engine does not have that much free memory.
 	Full struct{}
 
+	// Limited is the outcome when the engine takes no more requests for a time. It was not asked.
+	Limited struct{ RetryAfter time.Duration }
+
 	// Failed is the outcome when the engine does not answer, or another incarnation answers at its address.
 	Failed struct{ Err error }
 
@@ -134,6 +137,7 @@
 
 func (Reserved) outcome() {}
 func (Full) outcome()     {}
+func (Limited) outcome()  {}
 func (Failed) outcome()   {}
 
 // NewQueue returns an empty queue. members returns the decode engines that accept work.
@@ -357,6 +361,8 @@
 			engine.refusedTokens = t.Tokens
 		}
 		engine.retryAt = now.Add(q.recheckInterval)
+	case Limited:
+		engine.refusedTokens, engine.retryAt = 1, now.Add(o.RetryAfter)
 	case Failed:
 		if t.ctx.Err() == nil {
 			engine.refusedTokens, engine.retryAt = 1, now.Add(unreachableRecheckInterval)
