--- a/router/quota/limiter.go
+++ b/router/quota/limiter.go
@@ -27,8 +27,9 @@
 	Granted Outcome = "granted"
 	// Refused means that the limit allows no request now.
 	Refused Outcome = "refused"
-	// ShareGranted and ShareRefused are the outcomes at an entry that uses its own share, as the owner does not answer.
+	// ShareGranted means that a request was taken from this entry's own share, as the owner did not answer.
 	ShareGranted Outcome = "share_granted"
+	// ShareRefused means that this entry's own share allows no request now.
 	ShareRefused Outcome = "share_refused"
 )
 
