--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -309,3 +309,17 @@
 	}
 	is.Equal(c.Dials(), int64(2))
 }
+
+// The limit of idle connections may change while the client runs.
+func TestIdleConnectionsFollowTheirLimit(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, respond(completeResponse))
+	limit := 0
+	c := exchange.NewClient(exchange.WithIdlePerAddress(func() int { return limit }))
+	for _, want := range []int64{1, 2, 2} {
+		_, err := readBody(c.Do(t.Context(), get(s.address, "1")))
+		is.NoErr(err)
+		is.Equal(c.Dials(), want)
+		limit = 1
+	}
+}
--- a/router/exchange/idle.go
+++ b/router/exchange/idle.go
@@ -13,9 +13,8 @@
 	defaultAckTimeout = 2 * time.Second
 	// defaultIdleTimeout is how long an unused connection is kept.
 	defaultIdleTimeout = 10 * time.Second
-	// defaultIdlePerAddress bounds the idle connections to one upstream, which accepts a few hundred
-	// connections from all entries together.
-	defaultIdlePerAddress = 8
+	// DefaultIdlePerAddress is the largest number of idle connections to one upstream.
+	DefaultIdlePerAddress = 8
 )
 
 type (
@@ -26,14 +25,14 @@
 		dialTimeout time.Duration
 		ackTimeout  time.Duration
 		idleTimeout time.Duration
-		perAddress  int
+		perAddress  func() int
 	}
 
 	// idlePool holds idle connections by address, the most recently used last.
 	idlePool struct {
 		mu         sync.Mutex
 		timeout    time.Duration
-		perAddress int
+		perAddress func() int
 		conns      map[string][]*conn
 	}
 )
@@ -44,7 +43,7 @@
 		dialTimeout: defaultDialTimeout,
 		ackTimeout:  defaultAckTimeout,
 		idleTimeout: defaultIdleTimeout,
-		perAddress:  defaultIdlePerAddress,
+		perAddress:  func() int { return DefaultIdlePerAddress },
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -70,8 +69,8 @@
 	return func(o *options) { o.idleTimeout = timeout }
 }
 
-// WithIdlePerAddress sets the maximum number of idle connections to one upstream.
-func WithIdlePerAddress(connections int) Option {
+// WithIdlePerAddress sets the function that returns the maximum number of idle connections to one upstream.
+func WithIdlePerAddress(connections func() int) Option {
 	return func(o *options) { o.perAddress = connections }
 }
 
@@ -121,7 +120,7 @@
 func (p *idlePool) push(k *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.conns[k.address]) >= p.perAddress {
+	if len(p.conns[k.address]) >= p.perAddress() {
 		return false
 	}
 	p.conns[k.address] = append(p.conns[k.address], k)
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -70,6 +70,9 @@
 		Name string
 		// Engine is nil for pools of plain services.
 		Engine *EngineLimits
+		// MaxConnections is the number of connections that each upstream accepts from all entries together; 0 if it is
+		// unknown.
+		MaxConnections int
 	}
 
 	// Limits are the limits on the requests and connections of callers.
@@ -149,3 +152,15 @@
 func (r Route) String() string {
 	return fmt.Sprintf("%s%s", r.Host, r.Prefix)
 }
+
+// MinConnections returns the smallest number of connections that an upstream of any pool accepts from all entries
+// together, or 0 if none is known.
+func (c *Configuration) MinConnections() int {
+	least := 0
+	for _, p := range c.Pools {
+		if p.MaxConnections > 0 && (least == 0 || p.MaxConnections < least) {
+			least = p.MaxConnections
+		}
+	}
+	return least
+}
