--- a/gooseberryctl/request.go
+++ b/gooseberryctl/request.go
@@ -35,6 +35,8 @@
 		// Upstream is the one that answered or was tried last. Source is the engine that prefilled the prompt.
 		Upstream string `json:"upstream"`
 		Source   string `json:"source"`
+		// Limited are the upstreams that were passed over because their limits were used up.
+		Limited []string `json:"limited"`
 		// Reason, Ran and Why describe a refusal. Cause is the last failure of an upstream.
 		Reason string `json:"reason"`
 		Ran    string `json:"ran"`
@@ -110,6 +112,9 @@
 	upstreams, processes := map[string]bool{}, map[string]bool{}
 	for _, l := range requestLines {
 		upstreams[l.Upstream], upstreams[l.Source], processes[l.Process] = true, true, true
+		for _, id := range l.Limited {
+			upstreams[id] = true
+		}
 	}
 	delete(upstreams, "")
 	return slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
@@ -117,7 +122,9 @@
 			return l.Request != end.Request
 		}
 		withinWindow := !l.Time.After(end.Time) && end.Time.Sub(l.Time) <= relatedWindow
-		return !withinWindow || !processes[l.Process] || !upstreams[l.Upstream]
+		// Some lines name the incarnation of an upstream, as ID@START.
+		id, _, _ := strings.Cut(l.Upstream, "@")
+		return !withinWindow || !processes[l.Process] || !upstreams[id]
 	})
 }
 
--- a/gooseberryctl/request_test.go
+++ b/gooseberryctl/request_test.go
@@ -18,6 +18,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/upstream"
 )
@@ -38,6 +39,9 @@
 		*strings.Reader
 	}
 
+	// usedUp is a quota without requests left.
+	usedUp struct{}
+
 	// discardReply discards the response.
 	discardReply struct{}
 )
@@ -51,6 +55,12 @@
 
 func (resetBody) Release() {}
 
+func (usedUp) Take(context.Context, string) quota.Decision {
+	return quota.Denied{RetryAfter: 250 * time.Millisecond}
+}
+
+func (usedUp) RetryAfter(string) time.Duration { return 250 * time.Millisecond }
+
 func (discardReply) Begin(int, http.Header, int64) {}
 
 func (discardReply) Write([]byte) error { return nil }
@@ -82,25 +92,28 @@
 // explain --request reports the cause of a failed request from its ID and the log alone. It shows no lines of other requests.
 func TestExplainRequestShowsCause(t *testing.T) {
 	tests := map[string]struct {
-		kind ingress.Kind
-		full bool
-		want string
+		kind    ingress.Kind
+		full    bool
+		limited bool
+		want    string
 	}{
-		"stream refused for lack of memory": {ingress.Streaming{}, true, "Refused as overloaded (ran: no): no decode memory for 1230 tokens"},
-		"call with an unknown outcome":      {ingress.NonIdempotent{}, false, "Refused as upstream_lost (ran: unknown): upstream desk-1 gave no whole answer. Last failure, at upstream desk-1: connection reset by peer."},
-		"stream truncated by a lost engine": {ingress.Streaming{}, false, "Refused as upstream_lost (ran: yes): decode engine decode-1 broke off"},
+		"stream refused for lack of memory":     {ingress.Streaming{}, true, false, "Refused as overloaded (ran: no): no decode memory for 1230 tokens"},
+		"call with an unknown outcome":          {ingress.NonIdempotent{}, false, false, "Refused as upstream_lost (ran: unknown): upstream desk-1 gave no whole answer. Last failure, at upstream desk-1: connection reset by peer."},
+		"stream truncated by a lost engine":     {ingress.Streaming{}, false, false, "Refused as upstream_lost (ran: yes): decode engine decode-1 broke off"},
+		"call beyond the limit of its upstream": {ingress.NonIdempotent{}, false, true, "Refused as overloaded (ran: no): all upstreams of p take no more requests for 250ms."},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var log bytes.Buffer
-			synctest.Test(t, func(t *testing.T) { serve(t, &log, tt.kind, tt.full) })
+			synctest.Test(t, func(t *testing.T) { serve(t, &log, tt.kind, tt.full, tt.limited) })
 			file := filepath.Join(t.TempDir(), "entry.log")
 			is.NoErr(os.WriteFile(file, append([]byte("  12.5 entry-a not a line\n"), log.Bytes()...), 0o600))
 			var out, errs bytes.Buffer
 			is.Equal(gooseberryctl.Run([]string{"explain", "--request", "failed", "--log", file}, &out, &errs), gooseberryctl.ExitOK)
 			is.True(strings.Contains(out.String(), tt.want))
 			is.True(!strings.Contains(out.String(), "unrelated"))
+			is.Equal(strings.Contains(out.String(), "upstream limit changed"), tt.limited)
 			is.Equal(gooseberryctl.Run([]string{"explain", "--request", "missing", "--log", file}, &out, &errs), gooseberryctl.ExitFaults)
 			is.True(strings.Contains(errs.String(), `no log line of request "missing"`))
 		})
@@ -108,7 +121,7 @@
 }
 
 // serve serves the request "unrelated" and then the request "failed" at failing upstreams.
-func serve(t *testing.T, log *bytes.Buffer, kind ingress.Kind, full bool) {
+func serve(t *testing.T, log *bytes.Buffer, kind ingress.Kind, full, limited bool) {
 	rules := &ingress.Store{}
 	rules.Put(&ingress.Configuration{
 		Version: 3,
@@ -126,7 +139,13 @@
 	for id, phase := range phases {
 		d.Put(upstream.Upstream{ID: id, Pool: "p", Phase: phase})
 	}
-	g := gateway.New(rules, d, failingUpstreams{full: full}, gateway.WithLog(event.NewLog(log, "entry-a")))
+	events := event.NewLog(log, "entry-a")
+	opts := []gateway.Option{gateway.WithLog(events)}
+	if limited {
+		opts = append(opts, gateway.WithQuota(usedUp{}))
+		quota.NewTable(events).Observe("desk-1@1790000000123", quota.Limited{PerSecond: 3}, time.Now())
+	}
+	g := gateway.New(rules, d, failingUpstreams{full: full}, opts...)
 	for _, id := range []string{"unrelated", "failed"} {
 		g.Serve(t.Context(), &gateway.Request{
 			ID: id, Host: "a", Path: "/x", Target: "/x", Arrived: time.Now(),
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -204,10 +204,14 @@
 	if n.resuming {
 		w = n.resumeWaiter(now, n.avoid)
 	}
-	limited := n.gateway.allLimited(n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, now))
+	engines := n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, now)
+	limited := n.allLimited(engines)
 	if now.Add(limited).Before(w.Expires) {
 		return 0
 	}
+	for _, m := range engines {
+		n.recordLimited(m)
+	}
 	return limited
 }
 
--- a/router/gateway/quota.go
+++ b/router/gateway/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"gooseberrypin.example/router/quota"
@@ -61,12 +62,19 @@
 	case quota.Allowed:
 		return 0
 	case quota.Denied:
-		ar.record.Limited++
+		ar.recordLimited(m)
 		return max(d.RetryAfter, time.Millisecond)
 	}
 	return 0
 }
 
+// recordLimited records that an upstream was passed over because its limit is used up.
+func (ar *activeRequest) recordLimited(m *upstream.Member) {
+	if len(ar.record.Limited) < maxLimited && !slices.Contains(ar.record.Limited, m.ID) {
+		ar.record.Limited = append(ar.record.Limited, m.ID)
+	}
+}
+
 // refuseLimited refuses a request because the limits of all upstreams are used up for a time.
 func (ar *activeRequest) refuseLimited(ran refusal.Ran, retryAfter time.Duration) *refusal.Refusal {
 	return refusal.New(ran, refusal.Overloaded, ar.gateway.spread(retryAfter), "all upstreams of %s take no more requests for %v", ar.pool.Name, retryAfter.Round(time.Millisecond))
@@ -81,10 +89,10 @@
 
 // allLimited returns the time until the first of the upstreams may take a request, as far as this entry knows. It is 0
 // if one of them may take a request now, or if there are none.
-func (g *Gateway) allLimited(members []*upstream.Member) time.Duration {
+func (ar *activeRequest) allLimited(members []*upstream.Member) time.Duration {
 	shortest := time.Duration(0)
 	for _, m := range members {
-		wait := g.quota.RetryAfter(m.Incarnation())
+		wait := ar.gateway.quota.RetryAfter(m.Incarnation())
 		if wait == 0 {
 			return 0
 		}
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -8,6 +8,11 @@
 	"gooseberrypin.example/router/refusal"
 )
 
+const (
+	// maxLimited bounds the upstreams in a record that were passed over because of their limits.
+	maxLimited = 8
+)
+
 type (
 	// Record describes a finished request for logs and metrics.
 	Record struct {
@@ -33,8 +38,9 @@
 		Source string
 		// Sends counts the requests that were sent to upstreams.
 		Sends Sends
-		// Limited counts the upstreams that were passed over because their limits were used up.
-		Limited int
+		// Limited holds the IDs of the upstreams that were passed over because their limits were used up, at most
+		// maxLimited.
+		Limited []string
 		// Reserves counts the requests for memory at decode engines.
 		Reserves int
 		// SinceFirstTry is the time from the first attempt of a request that was refused before to the arrival
@@ -89,11 +95,14 @@
 func (g *Gateway) logRequest(r Record) {
 	fields := []any{
 		"request", r.Request.ID, "route", r.RouteName(), "pool", r.Pool, "version", r.Version,
-		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends.Total(), "limited", r.Limited,
+		"status", r.Status, "upstream", r.Upstream, "source", r.Source, "sends", r.Sends.Total(),
 		"reserves", r.Reserves, "tokens", r.Tokens, "events", r.Events,
 		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumptions, "spent_ms", r.SinceFirstTry.Milliseconds(),
 		"waited_ms", r.MemoryWait.Milliseconds(), "prefill_ms", r.PrefillTime.Milliseconds(), "first_ms", r.TimeToFirstByte.Milliseconds(), "took_ms", r.Took.Milliseconds(),
 	}
+	if len(r.Limited) > 0 {
+		fields = append(fields, "limited", r.Limited)
+	}
 	if r.Cause != "" {
 		fields = append(fields, "cause", r.Cause)
 	}
--- a/router/quota/table.go
+++ b/router/quota/table.go
@@ -82,7 +82,7 @@
 	}
 	t.limits[next.Upstream] = next
 	if next.Stated != old.Stated || next.PerSecond != old.PerSecond {
-		t.log.Info(event.UpstreamLimitChanged, "upstream", next.Upstream, "limited", next.Stated, "per_second", next.PerSecond,
+		t.log.Info(event.UpstreamLimitChanged, "upstream", next.Upstream, "stated", next.Stated, "per_second", next.PerSecond,
 			"previous_per_second", old.PerSecond, "age_ms", now.Sub(next.Observed).Milliseconds(), "from", from)
 	}
 	return next.Stated && !old.Stated
