--- /dev/null
+++ b/router/prefill/idle_test.go
@@ -0,0 +1,71 @@
+package prefill_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/prefill"
+)
+
+const (
+	// longPrompt is the number of tokens of a prompt that a healthy engine prefills well within its deadline.
+	longPrompt = 3757
+	// promptBudget is the time until the first token is due.
+	promptBudget = 490 * time.Millisecond
+)
+
+// learnSlowEngine returns a queue that has learned the prefill times of an engine in a slow spell.
+func learnSlowEngine() *prefill.Queue {
+	q := prefill.NewQueue(prefill.WithInitialTokenCost(cost))
+	for range 50 {
+		q.RecordPrefill(longPrompt, longPrompt*168*time.Microsecond)
+	}
+	return q
+}
+
+// An idle engine gets a prompt even if the learned cost says that it is late, and its prefill corrects the estimate.
+func TestIdleQueueTriesLatePrompt(t *testing.T) {
+	is := is.New(t)
+	q := learnSlowEngine()
+	now := start
+	for n := range 5 {
+		it := prefill.Item{Attempt: fmt.Sprint(n), Tokens: longPrompt, Arrived: now, Deadline: now.Add(promptBudget)}
+		is.Equal(q.Push(it, now), nil)
+		is.Equal(len(q.Expired(now)), 0)
+		_, found := q.Next(now)
+		is.True(found)
+		took := longPrompt * cost
+		q.RecordPrefill(longPrompt, took)
+		now = now.Add(time.Second)
+	}
+}
+
+// Only one prompt is tried: those behind it are refused by the forecast.
+func TestIdleQueueTriesOnePrompt(t *testing.T) {
+	is := is.New(t)
+	q := learnSlowEngine()
+	is.Equal(q.Push(item("a", "p", longPrompt, promptBudget), start), nil)
+	is.True(q.Push(item("b", "p", longPrompt, promptBudget), start) != nil)
+	_, found := q.Next(start)
+	is.True(found)
+	is.True(q.Push(item("c", "p", longPrompt, promptBudget), start) != nil)
+}
+
+// A number of slow prefills in one spell does not outweigh the ones before, and an old estimate gives way to new times.
+func TestOneSlowSpellWeighsOnce(t *testing.T) {
+	is := is.New(t)
+	q := prefill.NewQueue(prefill.WithInitialTokenCost(cost))
+	now := start
+	for range 50 {
+		q.RecordPrefill(longPrompt, longPrompt*cost)
+		now = now.Add(200 * time.Millisecond)
+	}
+	for range 8 {
+		q.RecordPrefill(longPrompt, longPrompt*168*time.Microsecond)
+	}
+	is.Equal(q.Push(item("a", "p", longPrompt, now.Sub(start)+promptBudget), now), nil)
+	is.True(q.Delay(now) < longPrompt*2*cost)
+}
