An idle engine takes a prompt whatever its estimate says

Callers saw: prompts refused for as long as they asked, with all engines idle. Cause: the sidecar's prefill queue refuses by a learned time per token, which only an admitted prefill corrects; a few prefills in a slow spell closed the engine to long prompts.

An idle queue now admits one prompt that the forecast calls late, and it does not expire before its deadline. Events 3011 and 3012 and the counters idle_trials and refused_idle show both sides to an operator.

--- a/router/bench/prefillserver.go
+++ b/router/bench/prefillserver.go
@@ -165,7 +165,7 @@
 func (s *prefillServer) finishPrefill(a *attempt, tokens int, duration time.Duration) {
 	s.running = nil
 	s.simulation.recordPrefill(a, tokens)
-	s.queue.RecordPrefill(tokens, duration)
+	s.queue.RecordPrefill(tokens, duration, s.simulation.clock.now)
 	s.cache.add(a.prompt)
 	s.simulation.publishCache(s.name, a.prompt.Blocks)
 	a.kvExpires = s.simulation.clock.now.Add(kvLifetime)
--- a/router/event/engine.go
+++ b/router/event/engine.go
@@ -22,4 +22,8 @@
 	Resumed = Event{Number: 3009, Text: "resumed after a pause"}
 	// EngineUnresponsive is logged when the engine accepts connections but does not answer.
 	EngineUnresponsive = Event{Number: 3010, Text: "engine unresponsive"}
+	// LatePromptTried is logged when an idle engine takes a prompt whose first token is predicted to be late.
+	LatePromptTried = Event{Number: 3011, Text: "late prompt tried on an idle engine"}
+	// RefusedWhileIdle is logged when a prompt is refused as late while the engine is idle.
+	RefusedWhileIdle = Event{Number: 3012, Text: "refused while the engine is idle"}
 )
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	tokenCostSmoothing = 0.1
-	defaultQuantum     = 16384
-	defaultMaxItems    = 1024
+	defaultQuantum  = 16384
+	defaultMaxItems = 1024
 )
 
 type (
@@ -32,6 +31,8 @@
 		// Late reports whether the first token is predicted to miss its latency target. Late items are sorted after
 		// all others.
 		Late bool
+		// trial reports whether the item was admitted only because the upstream was idle.
+		trial bool
 	}
 
 	// QueueOption configures a Queue.
@@ -43,10 +44,12 @@
 	Queue struct {
 		mu   sync.Mutex
 		gate *admission.Gate
-		// tokenCost is the smoothed prefill time of one uncached token.
-		tokenCost time.Duration
+		// tokenCost is the estimated prefill time of one uncached token.
+		tokenCost costEstimate
 		// timeAfterPrefill returns the time from the end of a prompt's prefill to its first token.
 		timeAfterPrefill func(tokens int) time.Duration
+		// onTrial is called for each item that is admitted only because the upstream is idle.
+		onTrial func(Item, admission.Forecast)
 		// quantum is the number of tokens that a partner may be served ahead of the others.
 		quantum  float64
 		maxItems int
@@ -65,8 +68,9 @@
 func NewQueue(opts ...QueueOption) *Queue {
 	q := &Queue{
 		gate:             admission.NewGate(rand.New(rand.NewPCG(0, 0))),
-		tokenCost:        defaultTokenCost,
+		tokenCost:        newCostEstimate(defaultTokenCost),
 		timeAfterPrefill: func(int) time.Duration { return 0 },
+		onTrial:          func(Item, admission.Forecast) {},
 		quantum:          defaultQuantum,
 		maxItems:         defaultMaxItems,
 		waiting:          make(map[string]Item),
@@ -86,7 +90,7 @@
 // WithInitialTokenCost sets the assumed prefill time of one uncached token before any was measured. The default is
 // 25 µs.
 func WithInitialTokenCost(cost time.Duration) QueueOption {
-	return func(q *Queue) { q.tokenCost = cost }
+	return func(q *Queue) { q.tokenCost = newCostEstimate(cost) }
 }
 
 // WithTimeAfterPrefill sets the function that returns the time from the end of a prompt's prefill to its first token,
@@ -95,6 +99,11 @@
 	return func(q *Queue) { q.timeAfterPrefill = after }
 }
 
+// WithTrialObserver sets a function that is called for each item that is admitted only because the upstream is idle.
+func WithTrialObserver(onTrial func(Item, admission.Forecast)) QueueOption {
+	return func(q *Queue) { q.onTrial = onTrial }
+}
+
 // WithQuantum sets how many tokens a partner may be served ahead of the others. The default is 16384.
 func WithQuantum(tokens int) QueueOption {
 	return func(q *Queue) { q.quantum = float64(tokens) }
@@ -105,25 +114,38 @@
 	return func(q *Queue) { q.maxItems = items }
 }
 
-// Push queues an item. It returns a refusal when the queue is full or the first token would miss the deadline.
+// Push queues an item. It returns a refusal when the queue is full or the first token would miss the deadline. An idle
+// upstream takes an item in any case: it displaces no other, and without its prefill the estimate would not be corrected.
 func (q *Queue) Push(it Item, now time.Time) *refusal.Refusal {
+	forecast, trial, refused := q.push(it, now)
+	if trial {
+		q.onTrial(it, forecast)
+	}
+	return refused
+}
+
+// push is Push. It also returns the forecast and whether the item is admitted as a trial.
+func (q *Queue) push(it Item, now time.Time) (forecast admission.Forecast, trial bool, refused *refusal.Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	forecast := admission.Forecast{
+	forecast = admission.Forecast{
 		QueueDelay: q.delay(now),
-		Prefill:    q.cost(it),
+		Prefill:    q.cost(it, now),
 		FirstStep:  q.timeAfterPrefill(max(it.Tokens, it.PromptTokens)),
 		Deadline:   it.Deadline,
 	}
 	if len(q.waiting) >= q.maxItems {
-		return q.gate.Shed(forecast.QueueDelay)
+		return forecast, false, q.gate.Shed(forecast.QueueDelay)
 	}
 	if refused := q.gate.Admit(forecast, now); refused != nil {
-		return refused
+		if !q.idle(now) {
+			return forecast, false, refused
+		}
+		it.trial = true
 	}
 	q.waiting[it.Attempt] = it
 	q.queuedTokens += it.Tokens
-	return nil
+	return forecast, it.trial, nil
 }
 
 // Next removes and returns the item with the earliest latest start, late items last, or false when the queue is
@@ -138,7 +160,7 @@
 		if q.servedTokens[it.Partner] > leastServed+q.quantum {
 			continue
 		}
-		if !found || q.startsBefore(it, best) {
+		if !found || q.startsBefore(it, best, now) {
 			best, found = it, true
 		}
 	}
@@ -154,7 +176,7 @@
 	defer q.mu.Unlock()
 	var expired []Item
 	for _, it := range q.waiting {
-		if now.After(q.latestStart(it)) {
+		if now.After(q.latestStart(it, now)) {
 			expired = append(expired, it)
 		}
 	}
@@ -197,34 +219,49 @@
 	return max(0, q.busyUntil.Sub(now))
 }
 
-// RecordPrefill updates the time per token with the duration of a complete prefill of a number of uncached tokens.
-func (q *Queue) RecordPrefill(tokens int, took time.Duration) {
+// Idle reports whether no item is queued and the started prefills are predicted to be complete.
+func (q *Queue) Idle(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.idle(now)
+}
+
+// RecordPrefill updates the time per token with the duration of a prefill of a number of uncached tokens that has just
+// completed.
+func (q *Queue) RecordPrefill(tokens int, took time.Duration, now time.Time) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	cost := float64(took) / float64(tokens)
-	q.tokenCost += time.Duration(tokenCostSmoothing * (cost - float64(q.tokenCost)))
+	q.tokenCost.record(took/time.Duration(tokens), now)
+}
+
+func (q *Queue) idle(now time.Time) bool {
+	return len(q.waiting) == 0 && !now.Before(q.busyUntil)
 }
 
 func (q *Queue) delay(now time.Time) time.Duration {
-	return max(0, q.busyUntil.Sub(now)) + time.Duration(q.queuedTokens)*q.tokenCost
+	return max(0, q.busyUntil.Sub(now)) + time.Duration(q.queuedTokens)*q.tokenCost.at(now)
 }
 
-func (q *Queue) cost(it Item) time.Duration {
-	return time.Duration(it.Tokens) * q.tokenCost
+func (q *Queue) cost(it Item, now time.Time) time.Duration {
+	return time.Duration(it.Tokens) * q.tokenCost.at(now)
 }
 
-func (q *Queue) latestStart(it Item) time.Time {
-	return it.Deadline.Add(-q.cost(it) - q.timeAfterPrefill(max(it.Tokens, it.PromptTokens)))
+// latestStart returns when an item must start at the latest. A trial may start until its deadline.
+func (q *Queue) latestStart(it Item, now time.Time) time.Time {
+	if it.trial {
+		return it.Deadline
+	}
+	return it.Deadline.Add(-q.cost(it, now) - q.timeAfterPrefill(max(it.Tokens, it.PromptTokens)))
 }
 
-func (q *Queue) startsBefore(a, b Item) bool {
+func (q *Queue) startsBefore(a, b Item, now time.Time) bool {
 	if a.Late != b.Late {
 		return b.Late
 	}
-	x, y := q.latestStart(a), q.latestStart(b)
+	x, y := q.latestStart(a, now), q.latestStart(b, now)
 	if x.Equal(y) {
 		return a.Attempt < b.Attempt
 	}
@@ -238,7 +275,7 @@
 	if q.busyUntil.Before(now) {
 		q.busyUntil = now
 	}
-	q.busyUntil = q.busyUntil.Add(q.cost(it))
+	q.busyUntil = q.busyUntil.Add(q.cost(it, now))
 }
 
 func (q *Queue) remove(it Item) {
--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -113,9 +113,13 @@
 
 	// Counters count events since the start of the controller.
 	Counters struct {
-		Prefills         int64 `json:"prefills"`
-		Decodes          int64 `json:"decodes"`
-		Refused          int64 `json:"refused"`
+		Prefills int64 `json:"prefills"`
+		Decodes  int64 `json:"decodes"`
+		Refused  int64 `json:"refused"`
+		// IdleTrials counts the prompts that an idle engine took although their first token was predicted to be late.
+		IdleTrials int64 `json:"idle_trials"`
+		// RefusedIdle counts the prompts that were refused as late while the engine was idle.
+		RefusedIdle      int64 `json:"refused_idle"`
 		LeasesExpired    int64 `json:"leases_expired"`
 		Superseded       int64 `json:"superseded"`
 		OrphansCancelled int64 `json:"orphans_cancelled"`
@@ -170,7 +174,8 @@
 	c.limitTarget = defaultBetweenTokens
 	c.queue = prefill.NewQueue(
 		prefill.WithGate(admission.NewGate(random, admission.WithMargin(dispatch.Margin))),
-		prefill.WithTimeAfterPrefill(c.timeAfterPrefill))
+		prefill.WithTimeAfterPrefill(c.timeAfterPrefill),
+		prefill.WithTrialObserver(c.recordTrial))
 	for _, o := range options {
 		o(c)
 	}
--- a/sidecar/engine/prefill.go
+++ b/sidecar/engine/prefill.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"gooseberrypin.example/router/admission"
 	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/dispatch"
+	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/prefill"
 	"gooseberrypin.example/router/refusal"
@@ -101,11 +103,28 @@
 		Late:     p.Late,
 	}, now)
 	if r != nil {
+		c.recordIdleRefusal(w.attempt, r)
 		c.dequeue(w.streamID)
 	}
 	return q, r
 }
 
+// recordTrial records a prompt that the idle engine takes although its first token is predicted to be late.
+func (c *Controller) recordTrial(it prefill.Item, f admission.Forecast) {
+	c.count(func(n *Counters) { n.IdleTrials++ })
+	c.log.Info(event.LatePromptTried, "attempt", it.Attempt, "tokens", it.Tokens, "prefill_ms", f.Prefill.Milliseconds(),
+		"forecast_ms", f.Total().Milliseconds(), "budget_ms", it.Deadline.Sub(it.Arrived).Milliseconds())
+}
+
+// recordIdleRefusal records the refusal of a prompt if the engine is idle.
+func (c *Controller) recordIdleRefusal(a port.Attempt, r *refusal.Refusal) {
+	if !c.queue.Idle(time.Now()) {
+		return
+	}
+	c.count(func(n *Counters) { n.RefusedIdle++ })
+	c.log.Warn(event.RefusedWhileIdle, "attempt", StreamID(a), "reason", r.Reason.String(), "why", r.Message)
+}
+
 func (c *Controller) dequeue(streamID string) {
 	c.queue.Remove(streamID)
 	c.mu.Lock()
@@ -170,7 +189,9 @@
 	select {
 	case <-q.headReached:
 	case <-q.expired:
-		return refusal.New(refusal.RanNo, refusal.Deadline, c.queue.Delay(time.Now())+queueRetry, "the first token would be late")
+		r := refusal.New(refusal.RanNo, refusal.Deadline, c.queue.Delay(time.Now())+queueRetry, "the first token would be late")
+		c.recordIdleRefusal(w.attempt, r)
+		return r
 	case <-ctx.Done():
 		return w.cancelRefusal(refusal.RanNo)
 	}
@@ -207,7 +228,7 @@
 	if err != nil {
 		return c.handleEngineError(ctx, w, err, epoch)
 	}
-	c.queue.RecordPrefill(int(result.PromptTokens-result.CachedTokens), time.Since(began))
+	c.queue.RecordPrefill(int(result.PromptTokens-result.CachedTokens), time.Since(began), time.Now())
 	done := port.Prefilled{
 		KV: port.KV{
 			Handle:        result.KVHandle,
