membership: a stop is final, in whatever order states arrive

Of {heartbeat 5, running} and {heartbeat 4, left} each counted as newer than the other, so two tables exchanged them for ever, and an entry that had stopped counted as live again: it would be asked, and could own quotas.

TestStopAndLaterHeartbeatMergeInAnyOrder and TestMergeIsIndependentOfTheOrder (every order and repetition of up to six states) were red: {other 1 4 left} != {other 1 5 left}, and {other 2 2 running} counts as running after {other 2 1 left}. The states are joined now: the later incarnation, the higher heartbeat, and any stop.

--- a/router/membership/table.go
+++ b/router/membership/table.go
@@ -74,17 +74,26 @@
 			added = append(added, m)
 			continue
 		}
-		if !isNewer(m, r.Member) {
-			continue
-		}
-		if lastHeartbeat := now.Add(-m.SinceHeartbeat); lastHeartbeat.After(r.lastHeartbeat) {
+		if lastHeartbeat := now.Add(-m.SinceHeartbeat); isNewer(m, r.Member) && lastHeartbeat.After(r.lastHeartbeat) {
 			r.lastHeartbeat = lastHeartbeat
 		}
-		r.Member = m
+		r.Member = join(r.Member, m)
 	}
 	return added
 }
 
+// join returns the state of a member after two states of it, in any order: the later incarnation, or of one incarnation
+// the higher heartbeat. A stop of an incarnation is final.
+func join(a, b Member) Member {
+	if a.Incarnation < b.Incarnation {
+		return b
+	}
+	if a.Incarnation == b.Incarnation {
+		a.Heartbeat, a.Left = max(a.Heartbeat, b.Heartbeat), a.Left || b.Left
+	}
+	return a
+}
+
 // refute raises the incarnation above the one that other entries hold of an earlier process at this address,
 // and above this one if they hold it as left. The clock may have been set back since the earlier process
 // started.
@@ -94,11 +103,12 @@
 	}
 }
 
+// isNewer reports whether a has a later heartbeat than b.
 func isNewer(a, b Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
-	return a.Heartbeat > b.Heartbeat || a.Left && !b.Left
+	return a.Heartbeat > b.Heartbeat
 }
 
 // removeExpired removes members without a heartbeat for memberRetention.
