upstream: a late write of an earlier incarnation does not cancel a removal

A server whose removal was scheduled during an outage of the store stayed in use when a delayed write of its earlier incarnation arrived after it: put cleared the removal before it looked at the incarnation. TestLateWriteDoesNotCancelARemoval was red: 1 != 0 members.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -110,13 +110,14 @@
 // put adds or updates an upstream as it was published. It reports whether the incarnation is new, and returns
 // the incarnations that it shows to have terminated. The caller holds the lock.
 func (d *Directory) put(u Upstream) (bool, []Upstream) {
-	delete(d.removalDue, u.ID)
-	d.membersByRole = nil
 	old, found := d.members[u.ID]
-	switch {
-	case found && u.Started.Before(old.Started) && !u.Started.IsZero():
+	if found && u.Started.Before(old.Started) && !u.Started.IsZero() {
 		// A delayed write of an earlier incarnation does not affect the running one.
 		return false, nil
+	}
+	delete(d.removalDue, u.ID)
+	d.membersByRole = nil
+	switch {
 	case !found || old.Address != u.Address || old.Started != u.Started:
 		next := &Member{Upstream: u, History: &History{}}
 		terminated := d.replacePredecessors(next)
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -233,3 +233,20 @@
 		})
 	}
 }
+
+// A late write of an earlier incarnation does not cancel the removal of the running one.
+func TestLateWriteDoesNotCancelARemoval(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	earlier := upstream.Upstream{ID: "d1", Pool: "p", Address: "a:1", Started: now.Add(-time.Hour)}
+	running := earlier
+	running.Started = now.Add(-time.Minute)
+	d := upstream.NewDirectory()
+	d.Put(running)
+	d.SourceUnavailable()
+	is.True(!d.Remove("d1", now))
+	is.True(!d.Put(earlier))
+	d.SourceAvailable(now)
+	d.Sweep(now.Add(time.Minute))
+	is.Equal(d.Size(), 0)
+}
