upstream: failures during a rejection pause eject

An ejection in the pause after a rejection returned the rest of the pause (60 ms) as its length and logged an ejection, but ejected nothing, so an upstream that was full and then failed got requests again at once. The pause and the ejection have their own ends now. TestFailuresDuringARejectionPauseEject was red: 60ms != 500ms.

--- a/router/upstream/snapshot.go
+++ b/router/upstream/snapshot.go
@@ -33,15 +33,15 @@
 		all = append(all, Snapshot{
 			ID: m.ID, Pool: m.Pool, Address: m.Address, DataCentre: m.DataCentre, Phase: m.Phase.String(),
 			Draining: m.Draining, InFlight: load.Requests, Tokens: load.Tokens,
-			EjectedMS: max(0, m.ejectedFor(now).Milliseconds()), LatencyMS: m.Latency().Milliseconds(),
+			EjectedMS: max(0, m.unavailableFor(now).Milliseconds()), LatencyMS: m.Latency().Milliseconds(),
 		})
 	}
 	slices.SortFunc(all, func(a, b Snapshot) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
-func (h *History) ejectedFor(now time.Time) time.Duration {
+func (h *History) unavailableFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.unavailableUntil.Sub(now)
+	return max(h.pausedUntil.Sub(now), h.ejectedUntil.Sub(now))
 }
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -65,11 +65,13 @@
 		tokens   int
 		failures int
 		// rejections counts the consecutive requests that were rejected for lack of capacity.
-		rejections       int
-		ejections        int
-		unavailableUntil time.Time
-		latency          time.Duration
-		replaced         bool
+		rejections int
+		ejections  int
+		// pausedUntil is the end of the pause after a rejection, ejectedUntil that of the ejection after failures.
+		pausedUntil  time.Time
+		ejectedUntil time.Time
+		latency      time.Duration
+		replaced     bool
 	}
 
 	// Load is the load that this process has in flight at an upstream.
@@ -171,8 +173,8 @@
 	defer h.mu.Unlock()
 	pause := min(rejectionPause<<min(h.rejections, 8), rejectionPauseMax)
 	h.rejections++
-	if until := now.Add(pause); until.After(h.unavailableUntil) {
-		h.unavailableUntil = until
+	if until := now.Add(pause); until.After(h.pausedUntil) {
+		h.pausedUntil = until
 	}
 }
 
@@ -192,20 +194,20 @@
 }
 
 func (h *History) eject(now time.Time) time.Duration {
-	if now.Before(h.unavailableUntil) {
-		return h.unavailableUntil.Sub(now)
+	if now.Before(h.ejectedUntil) {
+		return h.ejectedUntil.Sub(now)
 	}
 	wait := min(ejectionBase<<min(h.ejections, 8), ejectionMax)
 	h.ejections++
-	h.unavailableUntil = now.Add(wait)
+	h.ejectedUntil = now.Add(wait)
 	return wait
 }
 
-// ejectedForFailures reports whether the upstream is unavailable and has been ejected since its last success.
+// ejectedForFailures reports whether the upstream is ejected and has not succeeded since.
 func (h *History) ejectedForFailures(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ejections > 0 && now.Before(h.unavailableUntil)
+	return h.ejections > 0 && now.Before(h.ejectedUntil)
 }
 
 // isReplaced reports whether another incarnation answers at the address.
@@ -219,5 +221,5 @@
 func (h *History) usable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.replaced && !now.Before(h.unavailableUntil)
+	return !h.replaced && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil)
 }
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -250,3 +250,20 @@
 	d.Sweep(now.Add(time.Minute))
 	is.Equal(d.Size(), 0)
 }
+
+// Failures during the pause after a rejection eject the upstream for longer than the pause.
+func TestFailuresDuringARejectionPauseEject(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	h := &upstream.History{}
+	h.Rejected(now)
+	_, ejected := h.Failed(now)
+	is.True(!ejected)
+	pause, ejected := h.Failed(now)
+	is.True(ejected)
+	is.Equal(pause, 500*time.Millisecond)
+	// Further failures during an ejection do not extend it.
+	pause, ejected = h.Failed(now.Add(100 * time.Millisecond))
+	is.True(ejected)
+	is.Equal(pause, 400*time.Millisecond)
+}
