entry: a caller that leaves is not answered that its request did not run

"The caller has gone" said ran = no in four places where an upstream had run or may run the request: a piece of the answer that could not be sent, of the own record or of another keeper's; a wait for the next piece; and a relay that asks no keeper, while an earlier connection of the key may have started its work. It says yes where there are tokens, and unknown otherwise.

The other RanNo of entry/ are refusals before any work: read, sound.

--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -93,7 +93,7 @@
 		}
 		if err := out(p); err != nil {
 			reader.CompletionNotSent()
-			return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+			return refusal.New(refusal.RanYes, refusal.Cancelled, 0, "the caller has gone")
 		}
 		if p.Completion != nil {
 			reader.CompletionSent()
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -69,7 +69,8 @@
 		}
 	}
 	if last == nil {
-		return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+		// An earlier connection may have started the work of the key.
+		return refusal.New(refusal.RanUnknown, refusal.Cancelled, 0, "the caller has gone")
 	}
 	return last
 }
@@ -110,7 +111,7 @@
 		case *fleetv1.KeepEvent_Piece:
 			p := toPiece(v.Piece)
 			if err := out(p); err != nil {
-				return refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+				return refusal.New(refusal.RanYes, refusal.Cancelled, 0, "the caller has gone")
 			}
 			if p.Completion != nil {
 				return nil
--- a/router/request/reader.go
+++ b/router/request/reader.go
@@ -36,7 +36,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return Piece{}, refusal.New(refusal.RanNo, refusal.Cancelled, 0, "the caller has gone")
+			return Piece{}, refusal.New(rd.record.ran(), refusal.Cancelled, 0, "the caller has gone")
 		}
 	}
 }
--- a/router/request/record.go
+++ b/router/request/record.go
@@ -197,6 +197,16 @@
 	return r.state == finished
 }
 
+// ran returns what is known of the execution of the request: it ran if there are tokens. Its work may be anywhere before.
+func (r *Record) ran() refusal.Ran {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.tokens) > 0 || r.completion != nil {
+		return refusal.RanYes
+	}
+	return refusal.RanUnknown
+}
+
 // SetForwardedTo sets the address of the entry whose answer this record copies.
 func (r *Record) SetForwardedTo(address string) {
 	r.mu.Lock()
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -170,3 +170,31 @@
 	_, _, refused := table.Open(other)
 	is.Equal(refused.Reason, refusal.KeyReused)
 }
+
+// A caller that disconnects while its request may have run is not answered that it did not run.
+func TestDisconnectedCallerLearnsThatItsRequestMayHaveRun(t *testing.T) {
+	tests := map[string]struct {
+		tokens []string
+		want   refusal.Ran
+	}{
+		"no token yet": {nil, refusal.RanUnknown},
+		"some tokens":  {[]string{"hang "}, refusal.RanYes},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := open(t, request.NewTable())
+			reader, _ := r.Join(request.Position{})
+			if tt.tokens != nil {
+				r.Append(tt.tokens)
+				_, refused := reader.Next(t.Context())
+				is.Equal(refused, nil)
+			}
+			ctx, disconnect := context.WithCancel(t.Context())
+			disconnect()
+			_, refused := reader.Next(ctx)
+			is.Equal(refused.Reason, refusal.Cancelled)
+			is.Equal(refused.Ran, tt.want)
+		})
+	}
+}
