gateway: a resumed stream adds no negative start-up sample

The first event of a resumed stream came before the memory of its second engine was granted, so each resume fed the start-up estimate a negative time; it decides which waiters count as on time. Only a first decode gives a sample now, and estimates ignore what is not positive. Other learned figures: prefill.Queue and LimitEstimator guard theirs; History.Succeeded and decode.RecordStreamDuration get differences of one clock (read).

--- a/router/gateway/estimates.go
+++ b/router/gateway/estimates.go
@@ -36,8 +36,12 @@
 	return &estimates{startup: initialStartup}
 }
 
-// recordStartup adds a sample of the time from a grant of memory to the first event.
+// recordStartup adds a sample of the time from a grant of memory to the first event. It ignores samples that are not
+// positive.
 func (e *estimates) recordStartup(took time.Duration) {
+	if took <= 0 {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.startup += time.Duration(estimateWeight * float64(took-e.startup))
@@ -52,7 +56,7 @@
 
 // recordDecode adds a sample of the time in which a number of output tokens was generated.
 func (e *estimates) recordDecode(tokens int, took time.Duration) {
-	if tokens <= 0 {
+	if tokens <= 0 || took <= 0 {
 		return
 	}
 	perToken := took / time.Duration(tokens)
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -73,7 +73,9 @@
 	began := time.Now()
 	err := n.relay.forward(ctx, a, n.stallMonitor)
 	if events := n.record.Events - before; events > 0 {
-		n.poolState.estimates.recordStartup(n.relay.firstEventAt.Sub(granted))
+		if before == 0 {
+			n.poolState.estimates.recordStartup(n.relay.firstEventAt.Sub(granted))
+		}
 		if engine := n.pool.Engine; engine != nil {
 			n.poolState.estimates.recordDecode(events*engine.TokensPerEvent, time.Since(began))
 		}
