share: a finite retry delay just after the capacity becomes known

The first refusal after SetRate divided by a share of 0, computed before the rate was known: an infinite delay, converted to an undefined duration. SetRate with another rate has the fair rate computed anew. TestRetryDelayIsFiniteWhenTheRateBecomesKnown was red (the delay was not positive).

--- a/router/share/limiter.go
+++ b/router/share/limiter.go
@@ -91,6 +91,10 @@
 func (l *Limiter) SetRate(tokensPerSecond float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.rate != tokensPerSecond {
+		// The next request computes the fair rate anew.
+		l.fairRateUpdated = time.Time{}
+	}
 	l.rate = tokensPerSecond
 }
 
--- a/router/share/limiter_test.go
+++ b/router/share/limiter_test.go
@@ -79,3 +79,18 @@
 		})
 	}
 }
+
+// A partner that is refused just after the capacity became known gets a finite retry delay.
+func TestRetryDelayIsFiniteWhenTheRateBecomesKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := share.NewLimiter(rand.New(rand.NewPCG(1, 1)))
+	l.SetPressure(1)
+	for range 10 {
+		is.Equal(l.Take("p", 1, 1000, 1, now), nil)
+	}
+	l.SetRate(100)
+	refused := l.Take("p", 1, 1000, 1, now.Add(100*time.Millisecond))
+	is.True(refused != nil)
+	is.True(refused.RetryAfter > 0 && refused.RetryAfter < time.Minute)
+}
