sidecar: an engine that is unresponsive before it crashes has suspects

The loss of an engine that already counted as down, as it had not answered probes, was not recorded: content that crashes engines slowly was never suspected, and the next engine got it. The loss has its own flag now. TestUnresponsiveEngineThatCrashesReportsSuspects was red: 0 != 1 losses, no suspect.

--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -88,9 +88,9 @@
 		executing map[*work]int
 		// epoch is the number of recorded losses of the engine.
 		epoch int
-		// down reports whether the engine is lost or unresponsive.
-		down     bool
-		draining bool
+		// down reports whether the engine is lost or unresponsive, lost whether its loss is recorded.
+		down, lost bool
+		draining   bool
 		// reshaping reports whether work is refused until an order has changed the role or removed a model.
 		reshaping bool
 		// load is the latest load report, received at loadAt.
--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -73,12 +73,12 @@
 // of all work that was executing as suspected, and starts the next epoch.
 func (c *Controller) recordEngineLoss(epoch int) {
 	c.mu.Lock()
-	if epoch != c.epoch || c.down {
+	if epoch != c.epoch || c.lost {
 		c.mu.Unlock()
 		return
 	}
 	c.epoch++
-	c.down = true
+	c.down, c.lost = true, true
 	c.counters.EnginesLost++
 	fingerprints := make([]string, 0, len(c.executing))
 	for w, began := range c.executing {
@@ -138,7 +138,7 @@
 func (c *Controller) applyLoad(load port.EngineLoad) {
 	c.mu.Lock()
 	recovered := c.down
-	c.down, c.unansweredProbes = false, 0
+	c.down, c.lost, c.unansweredProbes = false, false, 0
 	resized := load.TotalPieces != c.memory.Load().TotalPieces() || load.PieceTokens != c.load.PieceTokens
 	c.load, c.loadAt = load, time.Now()
 	if load.TotalPieces > 0 && load.PieceTokens > 0 && resized && c.memory.Load().HeldAttempts() == 0 {
