sidecar: the end of a cancelled call keeps the lease of its repetition

A call that was cancelled removed the lease under its stream ID when it ended, also when the same attempt had been sent again meanwhile: the new call then had no lease, its keeper was told that it was lost, and nothing would have expired it. Only the current work of a key removes its lease. TestEndOfCancelledCallKeepsTheLeaseOfItsRepetition was red: 1 != 0 attempts unknown.

--- a/sidecar/engine/loss_test.go
+++ b/sidecar/engine/loss_test.go
@@ -34,3 +34,19 @@
 		synctest.Wait()
 	})
 }
+
+// The end of a cancelled call does not remove the lease of the call that repeats its attempt.
+func TestEndOfCancelledCallKeepsTheLeaseOfItsRepetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTestbed(configuration.RolePrefill).controller
+		a := port.Attempt{KeyDigest: "k", Number: 1}
+		first, refused := c.enterPhase(a, testKeeper, "f", queued)
+		is.Equal(refused, nil)
+		is.True(c.Release(a))
+		_, refused = c.enterPhase(a, testKeeper, "f", queued)
+		is.Equal(refused, nil)
+		c.leavePhase(first, queued)
+		is.Equal(len(c.Heartbeat(testKeeper, []port.Attempt{a})), 0)
+	})
+}
--- a/sidecar/engine/work.go
+++ b/sidecar/engine/work.go
@@ -127,9 +127,11 @@
 	c.removeWork(w)
 }
 
+// removeWork removes a work and its lease. A work that was removed before has none: the lease under its stream ID may
+// belong to a call that repeats the attempt.
 func (c *Controller) removeWork(w *work) {
-	c.leases.Remove(w.keeper, w.streamID)
 	if c.workByKey[w.attempt.KeyDigest] == w {
+		c.leases.Remove(w.keeper, w.streamID)
 		delete(c.workByKey, w.attempt.KeyDigest)
 	}
 }
