sidecar: memory stays held until the engine has ended the stream

When the engine did not take the cancel of a stream, its memory was released all the same, while the engine still used it: the next reservation overbooked it. TestMemoryStaysHeldUntilTheEngineEndsTheStream was red in both cases (memory free after a failed cancel). The other release without an acknowledgement is that of reservations without a stream, which only this process holds (read: sound).

--- a/sidecar/engine/controller.go
+++ b/sidecar/engine/controller.go
@@ -101,6 +101,9 @@
 		// loadSchedule is the schedule of load slots under the revision loadScheduleRevision.
 		loadSchedule         order.LoadSchedule
 		loadScheduleRevision int64
+		// uncancelled holds the IDs of streams that could not be cancelled. Their memory stays held until the engine has
+		// ended them.
+		uncancelled map[string]bool
 		// orphans is when each stream without an attempt was first seen, by stream ID.
 		orphans        map[string]time.Time
 		lastExpiryTick time.Time
@@ -168,6 +171,7 @@
 		transfers:       make(map[string]chan struct{}),
 		executing:       make(map[*work]int),
 		orphans:         make(map[string]time.Time),
+		uncancelled:     make(map[string]bool),
 	}
 	c.memory.Store(decode.NewMemory(defaultPieces, defaultPieceTokens))
 	c.limitEstimator.Store(decode.NewLimitEstimator(defaultBetweenTokens))
--- a/sidecar/engine/decode.go
+++ b/sidecar/engine/decode.go
@@ -67,16 +67,22 @@
 }
 
 // releaseStream cancels the engine's stream and then releases its memory. In this order, the
-// memory is not reserved again while the engine still uses it.
+// memory is not reserved again while the engine still uses it. If the cancel fails, a later sweep
+// releases the memory.
 func (c *Controller) releaseStream(w *work) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	if err := c.engine.Cancel(ctx, w.streamID); err != nil {
+	err := c.engine.Cancel(ctx, w.streamID)
+	if err != nil {
 		c.logCancelFailure(err, w.streamID)
+	} else {
+		c.memory.Load().Release(w.streamID)
 	}
-	c.memory.Load().Release(w.streamID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.uncancelled[w.streamID] = true
+	}
 	c.recordClosed(w.attempt)
 }
 
--- a/sidecar/engine/fake_test.go
+++ b/sidecar/engine/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"iter"
 	"math/rand/v2"
 	"sync"
@@ -19,6 +20,10 @@
 	tokenInterval = 20 * time.Millisecond
 )
 
+var (
+	errCancel = errors.New("the engine did not take the cancel")
+)
+
 // fakeEngine holds streams until they are cancelled. It crashes when the channel crashed is closed.
 type fakeEngine struct {
 	mu           sync.Mutex
@@ -29,6 +34,8 @@
 	crashed      chan struct{}
 	stallsImport bool
 	unresponsive bool
+	// failsCancel makes Cancel fail without an effect.
+	failsCancel bool
 }
 
 func newFakeEngine() *fakeEngine {
@@ -89,6 +96,9 @@
 func (f *fakeEngine) Cancel(_ context.Context, id string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.failsCancel {
+		return errCancel
+	}
 	delete(f.streams, id)
 	return nil
 }
--- a/sidecar/engine/loss_test.go
+++ b/sidecar/engine/loss_test.go
@@ -50,3 +50,45 @@
 		is.Equal(len(c.Heartbeat(testKeeper, []port.Attempt{a})), 0)
 	})
 }
+
+// Memory whose stream could not be cancelled at the engine is not reserved again before the engine has ended the stream.
+func TestMemoryStaysHeldUntilTheEngineEndsTheStream(t *testing.T) {
+	tests := map[string]func(b *testbed){
+		"a later cancel succeeds": func(b *testbed) {
+			b.engine.mu.Lock()
+			b.engine.failsCancel = false
+			b.engine.mu.Unlock()
+		},
+		"the stream ends by itself": func(b *testbed) {
+			b.engine.mu.Lock()
+			clear(b.engine.streams)
+			b.engine.mu.Unlock()
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newTestbed(configuration.RoleDecode, WithMemory(4, 100))
+				c := b.controller
+				is.Equal(c.Reserve(reservation("k1", 250)), nil)
+				a := port.Attempt{KeyDigest: "k1", Number: 1}
+				w, refused := c.enterPhase(a, testKeeper, "f", decoding)
+				is.Equal(refused, nil)
+				is.Equal(c.memory.Load().Start(w.streamID, time.Now()), nil)
+				b.engine.streams[w.streamID] = 3
+				b.engine.failsCancel = true
+				c.releaseStream(w)
+				c.leavePhase(w, decoding|reserved)
+				free := c.memory.Load().FreePieces()
+				is.True(free < 4)
+				c.sweep(t.Context())
+				is.Equal(c.memory.Load().FreePieces(), free)
+				end(b)
+				<-time.After(orphanGrace)
+				c.sweep(t.Context())
+				is.Equal(c.memory.Load().FreePieces(), 4)
+			})
+		})
+	}
+}
--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"gooseberrypin.example/router/decode"
@@ -186,8 +188,15 @@
 func (c *Controller) sweep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
+	c.mu.Lock()
+	uncancelled := slices.Collect(maps.Keys(c.uncancelled))
+	c.mu.Unlock()
 	list, err := c.engine.Streams(ctx)
-	if err != nil || c.naive.KeepsOrphans {
+	if err != nil {
+		return
+	}
+	c.releaseEnded(uncancelled, list)
+	if c.naive.KeepsOrphans {
 		return
 	}
 	for _, id := range c.expiredOrphans(list, time.Now()) {
@@ -195,11 +204,31 @@
 			c.logCancelFailure(err, id)
 			continue
 		}
+		c.releaseUncancelled(id)
 		c.count(func(n *Counters) { n.OrphansCancelled++ })
 		c.log.Info(event.OrphanCancelled, "stream_id", id)
 	}
 }
 
+// releaseEnded releases the memory of the uncancelled streams that a later list of the engine does not contain.
+func (c *Controller) releaseEnded(uncancelled []string, list []port.EngineStream) {
+	for _, id := range uncancelled {
+		if !slices.ContainsFunc(list, func(s port.EngineStream) bool { return s.StreamID == id }) {
+			c.releaseUncancelled(id)
+		}
+	}
+}
+
+// releaseUncancelled releases the memory of a stream that could not be cancelled before.
+func (c *Controller) releaseUncancelled(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.uncancelled[id] {
+		c.memory.Load().Release(id)
+		delete(c.uncancelled, id)
+	}
+}
+
 // expiredOrphans records which streams in a list of the engine have no attempt, and returns those
 // that have had none for orphanGrace.
 func (c *Controller) expiredOrphans(list []port.EngineStream, now time.Time) []string {
