sidecar: a change of the piece size is applied once memory is free

The report was compared with the report before, not with the memory in use, so a change of piece_tokens that came while memory was held was never applied. TestPieceSizeChangesOnceMemoryIsFree was red: the request needs more memory than the engine has.

--- a/router/decode/memory.go
+++ b/router/decode/memory.go
@@ -185,6 +185,11 @@
 	return m.pieces
 }
 
+// PieceTokens returns the size of a piece, in tokens.
+func (m *Memory) PieceTokens() int {
+	return m.pieceTokens
+}
+
 // Running returns the number of running streams.
 func (m *Memory) Running() int {
 	m.mu.Lock()
--- a/sidecar/engine/loss_test.go
+++ b/sidecar/engine/loss_test.go
@@ -92,3 +92,18 @@
 		})
 	}
 }
+
+// A change of the engine's piece size while memory is held is applied once it is free.
+func TestPieceSizeChangesOnceMemoryIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTestbed(configuration.RoleDecode, WithMemory(4, 100)).controller
+		c.applyLoad(port.EngineLoad{TotalPieces: 4, PieceTokens: 100})
+		is.Equal(c.Reserve(reservation("k1", 250)), nil)
+		changed := port.EngineLoad{TotalPieces: 4, PieceTokens: 1000}
+		c.applyLoad(changed)
+		is.True(c.Release(port.Attempt{KeyDigest: "k1", Number: 1}))
+		c.applyLoad(changed)
+		is.Equal(c.Reserve(reservation("k2", 3000)), nil)
+	})
+}
--- a/sidecar/engine/watch.go
+++ b/sidecar/engine/watch.go
@@ -141,9 +141,10 @@
 	c.mu.Lock()
 	recovered := c.down
 	c.down, c.lost, c.unansweredProbes = false, false, 0
-	resized := load.TotalPieces != c.memory.Load().TotalPieces() || load.PieceTokens != c.load.PieceTokens
+	memory := c.memory.Load()
+	resized := load.TotalPieces != memory.TotalPieces() || int(load.PieceTokens) != memory.PieceTokens()
 	c.load, c.loadAt = load, time.Now()
-	if load.TotalPieces > 0 && load.PieceTokens > 0 && resized && c.memory.Load().HeldAttempts() == 0 {
+	if load.TotalPieces > 0 && load.PieceTokens > 0 && resized && memory.HeldAttempts() == 0 {
 		c.memory.Store(decode.NewMemory(load.TotalPieces, int(load.PieceTokens)))
 	}
 	if target := c.targetBetweenTokens(); target != c.limitTarget {
