dispatch: a reservation that outlives a refused prefill is counted once

When a prefill was refused after decode memory was reserved, the end of its ticket counted the stream as gone, the next ticket took the reservation over without counting it, and its end counted it as gone again: the engine looked emptier than it was, by one stream for each such prefill until its next report. Reserved counts a stream that Assign has not counted.

--- a/router/decode/chooser.go
+++ b/router/decode/chooser.go
@@ -92,6 +92,13 @@
 	u.dropReported(h.At)
 }
 
+// Place records that a stream with a number of pieces was placed at an engine without Choose.
+func (c *Chooser) Place(name string, pieces int, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstream(name).add(change{at: now, pieces: pieces, streams: 1})
+}
+
 // Release records that a stream of this chooser has ended and freed pieces, before a hint reports it.
 func (c *Chooser) Release(name string, pieces int, now time.Time) {
 	c.mu.Lock()
--- a/router/dispatch/dispatch_test.go
+++ b/router/dispatch/dispatch_test.go
@@ -110,3 +110,31 @@
 	is.Equal(len(assignments), 1) // after the prefill, KVExpires applies in place of the deadline
 	is.True(assignments[0].Ticket == prefilled && !assignments[0].TooLate)
 }
+
+// A prefill is refused after decode memory was reserved, and the next prefill of the request uses that memory: its stream is
+// counted once, and freed once.
+func TestInheritedReservationIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	decodes := decode.NewChooser(rand.New(rand.NewPCG(1, 2)))
+	d := dispatch.New(rand.New(rand.NewPCG(1, 2)), dispatch.WithChoosers(prefill.NewChooser(rand.New(rand.NewPCG(1, 2))), decodes))
+	d.ObservePrefill(prefill.Hint{Upstream: "prefill", Accepting: true, At: start})
+	observe(d, 10, start)
+	now := start.Add(time.Millisecond)
+	running := func() int {
+		n, _ := decodes.Load(pools.Decodes)
+		return n
+	}
+	first, refused := d.Admit(request("key"), pools, now)
+	is.Equal(refused, nil)
+	d.Enqueue(first, nil)
+	is.Equal(len(d.Assign(pools, now)), 1)
+	d.Reserved(first, "decode", now)
+	is.Equal(running(), 11)
+	d.End(first, 0, now)
+	second, refused := d.Admit(request("key"), pools, now)
+	is.Equal(refused, nil)
+	d.Reserved(second, "decode", now)
+	is.Equal(running(), 11)
+	d.End(second, 0, now)
+	is.Equal(running(), 10)
+}
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -21,8 +21,10 @@
 		// on, the transfer has to be complete before KVExpires, and Deadline no longer applies.
 		KVExpires time.Time
 
-		request        Request
-		avoid          []string
+		request Request
+		avoid   []string
+		// assigned is the decode upstream at which Assign has counted the stream of this ticket.
+		assigned       string
 		decodeUpstream string
 		reservedAt     time.Time
 		pending        bool
@@ -63,6 +65,7 @@
 		}
 		name, found := d.decodes.Choose(d.pieces(t.request.Prompt.Tokens), p.Decodes, t.avoid, now)
 		if found {
+			t.assigned = name
 			assigned = append(assigned, Assignment{Ticket: t, Upstream: name})
 		}
 		return found
@@ -77,11 +80,15 @@
 	return len(d.waiting)
 }
 
-// Reserved records the decode upstream that reserved memory for a ticket.
+// Reserved records the decode upstream that reserved memory for a ticket. It counts the stream there unless Assign has
+// counted it: the memory may have been reserved for an earlier ticket of the request, which freed it at its end.
 func (d *Dispatcher) Reserved(t *Ticket, upstream string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.clearPending(t)
+	if t.assigned != upstream {
+		d.decodes.Place(upstream, d.pieces(t.request.Prompt.Tokens), now)
+	}
 	t.decodeUpstream = upstream
 	t.reservedAt = now
 }
