prefill: a repeated Push of an attempt counts its tokens once

Its tokens were added again, so the queue looked longer than it was until it was empty, and refused prompts. TestRepeatedPushCountsOnce was red: 75ms != 50ms.

--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -143,6 +143,9 @@
 		}
 		it.trial = true
 	}
+	if earlier, found := q.waiting[it.Attempt]; found {
+		q.queuedTokens -= earlier.Tokens
+	}
 	q.waiting[it.Attempt] = it
 	q.queuedTokens += it.Tokens
 	return forecast, it.trial, nil
--- a/router/prefill/queue_test.go
+++ b/router/prefill/queue_test.go
@@ -113,3 +113,15 @@
 		prefill.NewPrompt(text)
 	}
 }
+
+// A repeated Push of an attempt replaces its item.
+func TestRepeatedPushCountsOnce(t *testing.T) {
+	is := is.New(t)
+	q := prefill.NewQueue(prefill.WithInitialTokenCost(cost))
+	is.Equal(q.Push(item("a", "p", 1000, time.Second), start), nil)
+	is.Equal(q.Push(item("a", "p", 2000, time.Second), start), nil)
+	is.Equal(q.Len(), 1)
+	is.Equal(q.Delay(start), 2000*cost)
+	is.True(q.Remove("a"))
+	is.Equal(q.Delay(start), time.Duration(0))
+}
