gooseberryctl: explain reads logs with lines over 1 MiB

One long line of another program in a collected log made explain fail (token too long). TestExplainRequestShowsCause has such a line now, and was red: exit code 1.

--- a/gooseberryctl/request.go
+++ b/gooseberryctl/request.go
@@ -1,7 +1,6 @@
 package gooseberryctl
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -17,8 +16,6 @@
 )
 
 const (
-	// maxLineBytes is the maximum length of a log line. A longer line is an error.
-	maxLineBytes = 1 << 20
 	// relatedWindow is the time before the end of a request in which lines about its upstreams are shown. It exceeds the
 	// longest ejection, which is four seconds.
 	relatedWindow = 10 * time.Second
@@ -76,16 +73,11 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "log")
 		}
-		s := bufio.NewScanner(bytes.NewReader(content))
-		s.Buffer(nil, maxLineBytes)
-		for s.Scan() {
-			if l, ok := parseLine(s.Text()); ok {
+		for line := range bytes.Lines(content) {
+			if l, ok := parseLine(string(line)); ok {
 				lines = append(lines, l)
 			}
 		}
-		if err := s.Err(); err != nil {
-			return nil, eris.Wrap(err, name)
-		}
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
 	return lines, nil
--- a/gooseberryctl/request_test.go
+++ b/gooseberryctl/request_test.go
@@ -108,7 +108,9 @@
 			var log bytes.Buffer
 			synctest.Test(t, func(t *testing.T) { serve(t, &log, tt.kind, tt.full, tt.limited) })
 			file := filepath.Join(t.TempDir(), "entry.log")
-			is.NoErr(os.WriteFile(file, append([]byte("  12.5 entry-a not a line\n"), log.Bytes()...), 0o600))
+			// Other programs may write to the same file.
+			foreign := "  12.5 entry-a not a line\n" + strings.Repeat("x", 2<<20) + "\n"
+			is.NoErr(os.WriteFile(file, append([]byte(foreign), log.Bytes()...), 0o600))
 			var out, errs bytes.Buffer
 			is.Equal(gooseberryctl.Run([]string{"explain", "--request", "failed", "--log", file}, &out, &errs), gooseberryctl.ExitOK)
 			is.True(strings.Contains(out.String(), tt.want))
