configuration: the clock skew is checked against the horizon in force

clock_skew_ms was compared with a stated key_horizon_seconds only, not with the default of 600 s, and a short horizon not with the default skew of 2 s: keys from ahead of the clock could outlive the horizon. Both defaults stand in router/configuration now, once. Two cases of TestCheck were red: fault 0 is "", want "limits.clock_skew_ms:".

--- a/router/booking/home.go
+++ b/router/booking/home.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"gooseberrypin.example/router/configuration"
 	"gooseberrypin.example/router/refusal"
 )
 
@@ -12,8 +13,6 @@
 	// ClockBound is the assumed maximum difference between the clocks of two VMs.
 	ClockBound = 500 * time.Millisecond
 
-	defaultHorizon        = 600 * time.Second
-	defaultSkew           = 2 * time.Second
 	defaultMaxRecords     = 20_000
 	defaultMaxResultBytes = 8 << 20
 	defaultPauseThreshold = time.Second
@@ -96,8 +95,8 @@
 		self:           self,
 		pauseThreshold: defaultPauseThreshold,
 		table:          newTable(defaultMaxRecords, defaultMaxResultBytes),
-		horizon:        defaultHorizon,
-		skew:           defaultSkew,
+		horizon:        new(configuration.Limits).KeyHorizon(),
+		skew:           new(configuration.Limits).ClockSkew(),
 		pools:          make(map[string]*pool),
 		peers:          make(map[string]*peer),
 		running:        runCounter{counts: make(map[int64]int)},
--- a/router/booking/settle.go
+++ b/router/booking/settle.go
@@ -179,13 +179,7 @@
 }
 
 func (h *Home) setLimits(l *configuration.Limits) {
-	h.horizon, h.skew = defaultHorizon, defaultSkew
-	if l.KeyHorizonSeconds > 0 {
-		h.horizon = time.Duration(l.KeyHorizonSeconds) * time.Second
-	}
-	if l.ClockSkewMS > 0 {
-		h.skew = time.Duration(l.ClockSkewMS) * time.Millisecond
-	}
+	h.horizon, h.skew = l.KeyHorizon(), l.ClockSkew()
 	h.maxSkew = max(h.maxSkew, h.skew)
 }
 
--- a/router/configuration/check.go
+++ b/router/configuration/check.go
@@ -158,8 +158,8 @@
 	k.checkLimit("limits.quarantine_seconds", l.QuarantineSeconds)
 	k.checkLimit("limits.platform_reads_per_s", l.PlatformReadsPerS)
 	k.checkLimit("limits.weight_loads_per_minute", l.WeightLoadsPerMinute)
-	if l.KeyHorizonSeconds > 0 && l.ClockSkewMS >= l.KeyHorizonSeconds*1000 {
-		k.addf("limits.clock_skew_ms", "%d is not below the key horizon of %d s", l.ClockSkewMS, l.KeyHorizonSeconds)
+	if l.ClockSkew() >= l.KeyHorizon() {
+		k.addf("limits.clock_skew_ms", "%v is not below the key horizon of %v", l.ClockSkew(), l.KeyHorizon())
 	}
 }
 
--- a/router/configuration/configuration.go
+++ b/router/configuration/configuration.go
@@ -3,10 +3,15 @@
 package configuration
 
 import (
+	"time"
+
 	"gooseberrypin.example/router/label"
 )
 
 const (
+	defaultKeyHorizon = 600 * time.Second
+	defaultClockSkew  = 2 * time.Second
+
 	// KindEngine is a model engine.
 	KindEngine Kind = "engine"
 	// KindService is a plain service.
@@ -103,3 +108,19 @@
 		WeightLoadsPerMinute int64 `json:"weight_loads_per_minute,omitempty"`
 	}
 )
+
+// KeyHorizon returns the age from which idempotency keys are refused.
+func (l *Limits) KeyHorizon() time.Duration {
+	if l.KeyHorizonSeconds > 0 {
+		return time.Duration(l.KeyHorizonSeconds) * time.Second
+	}
+	return defaultKeyHorizon
+}
+
+// ClockSkew returns how far a key may be ahead of the clock.
+func (l *Limits) ClockSkew() time.Duration {
+	if l.ClockSkewMS > 0 {
+		return time.Duration(l.ClockSkewMS) * time.Millisecond
+	}
+	return defaultClockSkew
+}
--- a/router/configuration/configuration_test.go
+++ b/router/configuration/configuration_test.go
@@ -91,6 +91,12 @@
 		"weight":                     {func(c *config) { c.Partners[0].Weight = -1 }, "partners[0].weight:"},
 		"limit":                      {func(c *config) { c.Limits.PieceTokens = -1 }, "limits.piece_tokens:"},
 		"skew not below key horizon": {func(c *config) { c.Limits.ClockSkewMS = 600_000 }, "limits.clock_skew_ms:"},
+		"skew not below the default horizon": {
+			func(c *config) { c.Limits.KeyHorizonSeconds, c.Limits.ClockSkewMS = 0, 600_000 }, "limits.clock_skew_ms:",
+		},
+		"default skew not below the horizon": {
+			func(c *config) { c.Limits.KeyHorizonSeconds, c.Limits.ClockSkewMS = 2, 0 }, "limits.clock_skew_ms:",
+		},
 		"several faults": {func(c *config) {
 			c.Upstreams[0].VM = ""
 			c.Rules[1].ServicePool = ""
