gateway: the hedging test chooses the same upstreams in each run

5 of 2,000 runs were red as none of ten requests went to the slow upstream first: earlier sends were still ending, so the seeded draws differed. The test waits until no request is in flight.

--- a/router/gateway/call_test.go
+++ b/router/gateway/call_test.go
@@ -70,10 +70,15 @@
 		is := is.New(t)
 		f := &fakeUpstreams{}
 		g := newGateway(t, f, ingress.Idempotent{}, gateway.WithRetryRatio(0.2))
-		earnRetries(t, g, 30)
+		for range 30 {
+			earnRetries(t, g, 1)
+			// With no request in flight, the seeded choice between the two upstreams is the same in each run.
+			synctest.Wait()
+		}
 		f.reset(map[string][]step{"d1": {{after: time.Hour}}, "d2": {{after: 10 * time.Millisecond, body: "ok"}}})
 		worst := time.Duration(0)
 		for range 10 {
+			synctest.Wait()
 			began := time.Now()
 			a := &recordedReply{}
 			is.Equal(outcome(g.Serve(t.Context(), request(), a)), "answered")
