quota: an entry with few requests gets its share without the owner

While the owner of a quota does not answer, each failed attempt began the share's time anew, so an entry whose requests come more than half a second apart never got one. The share fills from the first failure on.

--- a/router/adapter/member/quota.go
+++ b/router/adapter/member/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,8 +88,16 @@
 	return quota.Limit{
 		Upstream:  m.GetUpstream(),
 		Stated:    m.GetStated(),
-		PerSecond: max(0, m.GetPerSecond()),
+		PerSecond: rate(m.GetPerSecond()),
 		Since:     now.Add(-max(0, wire.Milliseconds(m.GetSinceMs()))),
 		Observed:  now.Add(-max(0, wire.Milliseconds(m.GetAgeMs()))),
 	}
 }
+
+// rate returns a limit in requests a second, or 0 for a value that is none.
+func rate(perSecond float64) float64 {
+	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
+		return 0
+	}
+	return max(0, perSecond)
+}
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -48,6 +48,9 @@
 		}
 		tried[m.ID] = true
 		if n.takeQuota(ctx, m) > 0 {
+			if ctx.Err() != nil {
+				break
+			}
 			continue
 		}
 		prefills++
--- a/router/quota/ledger.go
+++ b/router/quota/ledger.go
@@ -66,9 +66,9 @@
 
 // take takes up to a number of whole requests and returns how many.
 func (b *bucket) take(requests int) int {
-	taken := min(requests, int(b.requests))
-	b.requests -= float64(taken)
-	return taken
+	taken := min(float64(requests), math.Floor(b.requests))
+	b.requests -= taken
+	return int(taken)
 }
 
 // untilNext returns the time until the bucket has a whole request.
--- a/router/quota/limiter.go
+++ b/router/quota/limiter.go
@@ -325,9 +325,9 @@
 		if !q.ownerLost {
 			l.log.Error(err, event.QuotaOwnerLost, "upstream", limit.Upstream, "per_second", limit.PerSecond, "entries", l.members.Divisor())
 			// The shares of all entries would otherwise have their first request at the same time.
-			q.share = bucket{requests: l.random.Float64()}
+			q.share = bucket{requests: l.random.Float64(), updated: now}
 		}
-		q.ownerLost, q.ownerPauseEnd, q.share.updated = true, now.Add(ownerPause), now
+		q.ownerLost, q.ownerPauseEnd = true, now.Add(ownerPause)
 		return l.takeShare(q, limit, now)
 	}
 	if q.ownerLost {
