gateway: only limits count as limits, and what a quota costs

A generation whose wait had already ended listed all decode engines as limited in its log line, though none was.

--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -88,3 +88,24 @@
 		}
 	}
 }
+
+// BenchmarkAcquire measures one request to the owner of a quota in a fleet of targetEntries entries. It includes both
+// sides and HTTP.
+func BenchmarkAcquire(b *testing.B) {
+	group := membership.NewGroup("10.1.0.1:8144", nil, nil, event.Discard())
+	for i := range targetEntries {
+		group.Exchange(membership.Update{Members: []membership.Member{{Address: fmt.Sprintf("10.1.%d.%d:8144", i/200, i%200), Heartbeat: 1}}})
+	}
+	limiter := quota.NewLimiter("10.1.0.1:8144", quota.NewTable(event.Discard()), group, nil)
+	server := httptest.NewServer(NewQuotaHandler(limiter))
+	defer server.Close()
+	client := NewClient(server.Client())
+	now := time.Now()
+	request := quota.Request{Entry: "10.1.0.2:8144", Limit: quota.Limit{Upstream: "i-0123456789@1790000000123", Stated: true, PerSecond: 20, Since: now, Observed: now}, Count: 1}
+	address := server.Listener.Addr().String()
+	for b.Loop() {
+		if _, err := client.Acquire(b.Context(), address, request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -206,7 +206,7 @@
 	}
 	engines := n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, now)
 	limited := n.allLimited(engines)
-	if now.Add(limited).Before(w.Expires) {
+	if limited == 0 || now.Add(limited).Before(w.Expires) {
 		return 0
 	}
 	for _, m := range engines {
