--- a/router/quota/fleet_test.go
+++ b/router/quota/fleet_test.go
@@ -70,6 +70,8 @@
 	for _, other := range f.entries[:min(3, len(f.entries))] {
 		seeds = append(seeds, other.address)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	e.group = membership.NewGroup(e.address, seeds, e, event.Discard(), membership.WithAssumedEntries(25), membership.WithDelegate(e))
 	e.table = quota.NewTable(event.Discard())
 	e.limiter = quota.NewLimiter(e.address, e.table, e.group, e)
@@ -86,10 +88,21 @@
 	e.stop()
 }
 
-func (e *entry) AddLocalState(u *membership.Update) { u.Limits = e.table.Shared(time.Now()) }
+// process returns the parts of the running process, or of the last one.
+func (e *entry) process() (*membership.Group, *quota.Table, *quota.Limiter) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.group, e.table, e.limiter
+}
+
+func (e *entry) AddLocalState(u *membership.Update) {
+	_, table, _ := e.process()
+	u.Limits = table.Shared(time.Now())
+}
 
 func (e *entry) MergeRemoteState(u membership.Update) bool {
-	return e.table.Merge(u.Limits, u.Sender(), time.Now())
+	_, table, _ := e.process()
+	return table.Merge(u.Limits, u.Sender(), time.Now())
 }
 
 // reach returns the entry at an address once a message from e has arrived there.
@@ -117,7 +130,8 @@
 	if err != nil {
 		return membership.Update{}, err
 	}
-	return to.group.Exchange(u), nil
+	group, _, _ := to.process()
+	return group.Exchange(u), nil
 }
 
 func (e *entry) Acquire(ctx context.Context, address string, r quota.Request) (quota.Grant, error) {
@@ -128,7 +142,8 @@
 	if err != nil {
 		return quota.Grant{}, err
 	}
-	return to.limiter.Acquire(r), nil
+	_, _, limiter := to.process()
+	return limiter.Acquire(r), nil
 }
 
 // send tries to send one request to the upstream.
@@ -140,7 +155,8 @@
 	if idle {
 		return
 	}
-	if _, denied := e.limiter.Take(context.Background(), limitedServer).(quota.Denied); denied {
+	group, table, limiter := e.process()
+	if _, denied := limiter.Take(context.Background(), limitedServer).(quota.Denied); denied {
 		return
 	}
 	f.mu.Lock()
@@ -149,11 +165,11 @@
 	f.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	if perSecond == 0 {
-		e.table.Observe(limitedServer, quota.Unlimited{}, time.Now())
+		table.Observe(limitedServer, quota.Unlimited{}, time.Now())
 		return
 	}
-	if e.table.Observe(limitedServer, quota.Limited{PerSecond: perSecond}, time.Now()) {
-		e.group.TriggerBroadcast()
+	if table.Observe(limitedServer, quota.Limited{PerSecond: perSecond}, time.Now()) {
+		group.TriggerBroadcast()
 	}
 }
 
@@ -171,18 +187,19 @@
 
 // worstWindow returns the largest number of requests in a window that ends at from or later.
 func (f *fleet) worstWindow(from time.Time, counts func(arrival) bool) int {
-	worst := 0
-	for _, last := range f.arrivals {
-		if last.at.Before(from) {
+	worst, oldest := 0, 0
+	var times []time.Time
+	for _, a := range f.arrivals {
+		if !counts(a) {
 			continue
 		}
-		count := 0
-		for _, a := range f.arrivals {
-			if counts(a) && !a.at.After(last.at) && a.at.After(last.at.Add(-limitWindow)) {
-				count++
-			}
+		times = append(times, a.at)
+		for !times[oldest].After(a.at.Add(-limitWindow)) {
+			oldest++
+		}
+		if !a.at.Before(from) {
+			worst = max(worst, len(times)-oldest)
 		}
-		worst = max(worst, count)
 	}
 	return worst
 }
@@ -193,7 +210,8 @@
 		return slices.Repeat([]float64{total / float64(entries)}, entries)
 	}
 	owner := func(f *fleet) *entry {
-		address := f.entries[0].group.Owner(limitedServer)
+		group, _, _ := f.entries[0].process()
+		address := group.Owner(limitedServer)
 		i := slices.IndexFunc(f.entries, func(e *entry) bool { return e.address == address })
 		return f.entries[i]
 	}
@@ -230,7 +248,8 @@
 		}},
 		"the owner leaves": {perSecond: 4, load: evenly(4, 40), least: 0.7, disturb: func(f *fleet) {
 			e := owner(f)
-			e.group.Leave(context.Background())
+			group, _, _ := e.process()
+			group.Leave(context.Background())
 			time.Sleep(3 * time.Second)
 			e.kill()
 		}},
@@ -267,7 +286,9 @@
 				time.Sleep(joinTime)
 				ctx, cancel := context.WithTimeout(t.Context(), graceTime+loadTime)
 				defer cancel()
+				f.mu.Lock()
 				f.perSecond = tt.perSecond
+				f.mu.Unlock()
 				stated := time.Now()
 				var senders sync.WaitGroup
 				for i, e := range f.entries {
@@ -276,12 +297,17 @@
 				}
 				first := owner(f).index
 				time.Sleep(graceTime)
+				f.mu.Lock()
 				askedBefore := f.asked
+				f.mu.Unlock()
 				if tt.disturb != nil {
 					go tt.disturb(f)
 				}
 				senders.Wait()
 				time.Sleep(time.Second)
+				f.mu.Lock()
+				asked := f.asked - askedBefore
+				f.mu.Unlock()
 				counts := func(a arrival) bool {
 					return a.at.After(stated.Add(time.Second)) && (!tt.excused || a.entry != first)
 				}
@@ -292,7 +318,7 @@
 					}
 				}
 				most, allowed := 1.5*tt.perSecond*limitWindow.Seconds()+5, tt.perSecond*loadTime.Seconds()
-				t.Logf("worst window %d of %.0f; %d requests of %.0f; %.1f calls a second between entries", window, most, got, allowed, float64(f.asked-askedBefore)/loadTime.Seconds())
+				t.Logf("worst window %d of %.0f; %d requests of %.0f; %.1f calls a second between entries", window, most, got, allowed, float64(asked)/loadTime.Seconds())
 				if float64(window) > most {
 					t.Errorf("%d requests within %v, allowed %.0f", window, limitWindow, most)
 				}
