--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -63,7 +63,8 @@
 // logLostAnswer logs a send without a complete answer.
 func (ar *activeRequest) logLostAnswer(m *upstream.Member, sendReason SendReason, err error) {
 	ar.gateway.log.Error(err, event.AnswerIncomplete, "request", ar.request.ID, "upstream", m.ID, "address", m.Address,
-		"path", sendReason.String(), "contents", contentNames(ar.contents), "took_ms", time.Since(ar.request.Arrived).Milliseconds())
+		"path", sendReason.String(), "contents", contentNames(ar.contents), "parts", ar.request.promptParts(), "events", ar.record.Events,
+		"took_ms", time.Since(ar.request.Arrived).Milliseconds())
 }
 
 // recordFailure updates the health of an upstream after a failed send. An upstream that was replaced or
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -39,7 +39,10 @@
 	Generation struct {
 		Model string
 		// Content identifies the parts of the prompt. It is the same for all attempts of one request.
-		Content         string
+		Content string
+		// Parts are the IDs of the parts of the prompt, in order. Other requests may have all but the last one, which
+		// belongs to the request or its session.
+		Parts           []string
 		PromptTokens    int
 		MaxOutputTokens int
 		// LengthHint is the caller's estimate of the output length in tokens; zero if there is none.
@@ -56,6 +59,14 @@
 	}
 )
 
+// promptParts returns the IDs of the parts of the prompt, or nil for a request without a prompt.
+func (r *Request) promptParts() []string {
+	if r.Generation == nil {
+		return nil
+	}
+	return r.Generation.Parts
+}
+
 // deadline returns when the wait of the caller ends: after its own limit or the timeout of the route,
 // whichever is shorter.
 func (r *Request) deadline(route *ingress.Route) time.Time {
