quarantine: a prompt part that crashes engines is blocked, what ran beside it is not

Parts of prompts, all but the last, are now contents too. An end of an upstream has bystanders, so Table.attribute decides whose fault it was, from the evidence of all entries: requests without an event before those whose answers had begun, then the content with the most ends. Parts of which an answer was complete are not suspected, and of parts that can't be told apart only requests with all of them are refused.

--- a/router/adapter/wire/wire.go
+++ b/router/adapter/wire/wire.go
@@ -91,6 +91,9 @@
 			Crashes:     s.Crashes,
 			Cleared:     s.Cleared,
 			Unproven:    s.Unproven,
+			Part:        s.Part,
+			Answered:    s.Answered,
+			Begun:       s.Begun,
 			RemainingMs: s.Remaining.Milliseconds(),
 		})
 	}
@@ -106,6 +109,9 @@
 			Crashes:     m.GetCrashes(),
 			Cleared:     m.GetCleared(),
 			Unproven:    m.GetUnproven(),
+			Part:        m.GetPart(),
+			Answered:    m.GetAnswered(),
+			Begun:       m.GetBegun(),
 			Remaining:   Milliseconds(m.GetRemainingMs()),
 		})
 	}
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -20,6 +20,8 @@
 	// maxSuspects bounds the suspects that are kept: two names for each request that ran at one of thirty
 	// busy engines when these crashed.
 	maxSuspects = 4096
+	// partPrefix distinguishes the names of prompt parts from those of whole contents.
+	partPrefix = "part:"
 )
 
 var (
@@ -50,13 +52,20 @@
 }
 
 // contents returns two names for the content of a request, which are the same when its caller sends it
-// again. The first one includes the caller. The second one does not, for callers whose address changes.
+// again, and the names of the parts of its prompt that other requests may have. The first one includes the caller.
+// The second one does not, for callers whose address changes.
 func (r *Request) contents() []quarantine.Content {
 	name := func(parts ...string) string { return strconv.FormatUint(digest(r.Body, parts...), 16) }
-	return []quarantine.Content{
+	contents := []quarantine.Content{
 		{Name: name(r.Caller, r.Header.Get("Authorization"), r.Method, r.Path)},
 		{Name: name(r.Method, r.Target), Shared: true},
 	}
+	if parts := r.promptParts(); len(parts) > 1 {
+		for _, part := range parts[:len(parts)-1] {
+			contents = append(contents, quarantine.Content{Name: partPrefix + part, Part: true})
+		}
+	}
+	return contents
 }
 
 // newAttempt returns the record of a send of the request to an upstream that begins now.
@@ -67,11 +76,9 @@
 // refuseQuarantined refuses a request whose content is quarantined. It returns nil if the request may be
 // sent.
 func (ar *activeRequest) refuseQuarantined(ran refusal.Ran) *refusal.Refusal {
-	now := time.Now()
-	for _, c := range ar.contents {
-		if q, ok := ar.gateway.crashes.table.Check(c.Name, now).(quarantine.Quarantined); ok {
-			return refusal.New(ran, refusal.Quarantined, q.Remaining, "content %s crashed upstreams and is kept from them for %v", c.Name, q.Remaining.Round(time.Second))
-		}
+	verdict, c := ar.gateway.crashes.table.CheckRequest(ar.contents, time.Now())
+	if q, ok := verdict.(quarantine.Quarantined); ok {
+		return refusal.New(ran, refusal.Quarantined, q.Remaining, "content %s crashed upstreams and is kept from them for %v", c.Name, q.Remaining.Round(time.Second))
 	}
 	return nil
 }
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -44,6 +44,8 @@
 		lastEventAt time.Time
 		// unnumbered counts the events without a number since the last numbered one.
 		unnumbered int
+		// received counts the numbered events that were received from all engines.
+		received int
 	}
 )
 
@@ -69,9 +71,10 @@
 	if a.Status != http.StatusOK {
 		return n.relayEngineError(ctx, m, t, a)
 	}
-	before := n.record.Events
+	before, receivedBefore := n.record.Events, n.relay.received
 	began := time.Now()
 	err := n.relay.forward(ctx, a, n.stallMonitor)
+	t.Begun = n.relay.received > receivedBefore
 	if events := n.record.Events - before; events > 0 {
 		if before == 0 {
 			n.poolState.estimates.recordStartup(n.relay.firstEventAt.Sub(granted))
@@ -145,6 +148,7 @@
 	}
 	if e.HasID {
 		r.unnumbered = 0
+		r.received++
 		switch {
 		case r.hasLast && e.ID <= r.lastID:
 			return nil
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -47,17 +47,26 @@
 		SentAt time.Time
 		// Proven is whether the upstream's termination was confirmed; otherwise only its connection closed.
 		Proven bool
+		// Begun is whether the answer had begun. Content that crashes upstreams mostly does so before that, so a crash
+		// is attributed to requests without an answer, if there were any.
+		Begun bool
 	}
 
 	// Suspect is an entry of a table, as processes exchange it. Crashes have names, so that a crash that both
 	// of two tables hold counts once.
 	Suspect struct {
-		Fingerprint string   `json:"fingerprint"`
-		Crashes     []string `json:"crashes"`
+		Fingerprint string `json:"fingerprint"`
+		// Part is whether the content is a part that requests with different contents share.
+		Part bool `json:"part,omitempty"`
+		// Answered is whether an upstream has given a complete answer to a request with the part.
+		Answered bool     `json:"answered,omitempty"`
+		Crashes  []string `json:"crashes"`
 		// Unproven are the upstreams whose connections closed and which may still run.
 		Unproven []string `json:"unproven,omitempty"`
 		// Cleared are the crashes that were cleared by a complete answer.
 		Cleared []string `json:"cleared,omitempty"`
+		// Begun are the crashes before which the answer to each request with the content had begun.
+		Begun []string `json:"begun,omitempty"`
 		// Remaining is the time until the entry expires.
 		Remaining time.Duration `json:"remaining_ns"`
 	}
@@ -69,6 +78,10 @@
 		capacity          int
 		clearsQuarantined bool
 		entries           map[string]*entry
+		// answeredParts are the parts of requests with complete answers.
+		answeredParts recentSet
+		// attributed is whether the entries have not changed since the last call of attribute.
+		attributed bool
 		// newlyQuarantined are the contents that became quarantined since the last call of
 		// TakeNewlyQuarantined.
 		newlyQuarantined []string
@@ -131,53 +144,50 @@
 		if fingerprint == "" {
 			continue
 		}
-		t.recordCrash(fingerprint, Crash{Upstream: crash, Proven: true}, now)
+		t.recordCrash(Content{Name: fingerprint}, Crash{Upstream: crash, Proven: true}, now)
 	}
 }
 
 // RecordCrash records a crash of an upstream that ran the content, and reports whether it changed the table.
-func (t *Table) RecordCrash(fingerprint string, c Crash, now time.Time) bool {
+//
+// For content that several requests may carry at once, it ignores a crash if the content was sent before its last crash
+// at another upstream was recorded: upstreams that terminate together show no fault of the content. This does not apply
+// to a part whose answer had not begun, as few requests are in that state when an upstream crashes for another reason.
+// A part is not suspected by a crash that is unproven, as a lost link breaks off many answers.
+func (t *Table) RecordCrash(content Content, c Crash, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.recordCrash(fingerprint, c, now)
-}
-
-// RecordSharedCrash is RecordCrash for content that several callers may send at once. It ignores a crash if
-// the content was sent before its last crash at another upstream was recorded: upstreams that terminate
-// together show no fault of the content.
-func (t *Table) RecordSharedCrash(fingerprint string, c Crash, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, previous := range t.entry(fingerprint, now).crashes {
-		if previous.state != cleared && name != c.Upstream && !previous.recordedAt.Before(c.SentAt) {
-			return false
+	if content.Part && !c.Proven {
+		return false
+	}
+	if content.Shared || content.Part && c.Begun {
+		for name, previous := range t.entry(content.Name, now).crashes {
+			if previous.state != cleared && name != c.Upstream && !previous.recordedAt.Before(c.SentAt) {
+				return false
+			}
 		}
 	}
-	return t.recordCrash(fingerprint, c, now)
+	return t.recordCrash(content, c, now)
 }
 
-func (t *Table) recordCrash(fingerprint string, c Crash, now time.Time) bool {
-	e := t.entry(fingerprint, now)
-	weightBefore := e.weight
+func (t *Table) recordCrash(content Content, c Crash, now time.Time) bool {
+	e := t.entry(content.Name, now)
+	if content.Part && !e.part {
+		e.part, e.answered = true, t.answeredParts.has(content.Name)
+	}
 	if !e.addCrash(c, now) {
 		return false
 	}
 	e.expires, e.changed = now.Add(e.term(t.term)), now
-	t.noteIfQuarantined(fingerprint, weightBefore)
+	t.attributed = false
 	return true
 }
 
-// noteIfQuarantined adds the content to newlyQuarantined if its weight has just reached quarantineWeight.
-func (t *Table) noteIfQuarantined(fingerprint string, weightBefore int) {
-	if weightBefore < quarantineWeight && t.entries[fingerprint].quarantined() && len(t.newlyQuarantined) < t.capacity {
-		t.newlyQuarantined = append(t.newlyQuarantined, fingerprint)
-	}
-}
-
 // TakeNewlyQuarantined returns the contents that became quarantined since the last call.
 func (t *Table) TakeNewlyQuarantined() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.attribute()
 	fingerprints := t.newlyQuarantined
 	t.newlyQuarantined = nil
 	return fingerprints
@@ -187,11 +197,43 @@
 func (t *Table) Check(fingerprint string, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.check(fingerprint, now)
+}
+
+// CheckRequest returns whether a request with these contents is free, suspected or quarantined, and the content that
+// decides it.
+func (t *Table) CheckRequest(contents []Content, now time.Time) (Verdict, Content) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	carries := func(fingerprint string) bool {
+		return slices.ContainsFunc(contents, func(c Content) bool { return c.Name == fingerprint })
+	}
+	var suspect Content
+	for _, c := range contents {
+		switch v := t.check(c.Name, now).(type) {
+		case Quarantined:
+			if !slices.ContainsFunc(t.entries[c.Name].companions, func(f string) bool { return !carries(f) }) {
+				return v, c
+			}
+			suspect = c
+		case Suspected:
+			suspect = c
+		case Free:
+		}
+	}
+	if suspect.Name != "" {
+		return Suspected{}, suspect
+	}
+	return Free{}, Content{}
+}
+
+func (t *Table) check(fingerprint string, now time.Time) Verdict {
+	t.attribute()
 	e := t.entries[fingerprint]
 	switch {
 	case e == nil || e.weight == 0 || now.After(e.expires):
 		return Free{}
-	case !e.quarantined():
+	case !e.quarantined:
 		return Suspected{}
 	}
 	return Quarantined{Remaining: e.expires.Sub(now)}
@@ -199,14 +241,22 @@
 
 // Clear frees suspected content after a complete answer. Quarantined content stays quarantined unless
 // WithClearQuarantined is set.
-func (t *Table) Clear(fingerprint string, now time.Time) {
+func (t *Table) Clear(content Content, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[fingerprint]
-	if e == nil || e.quarantined() && !t.clearsQuarantined {
+	if content.Part {
+		t.answeredParts.add(content.Name)
+	}
+	t.attribute()
+	e := t.entries[content.Name]
+	if e == nil || e.quarantined && !t.clearsQuarantined {
 		return
 	}
-	e.clearCrashes()
+	e.answered = e.part
+	if e.weight > 0 {
+		e.clearCrashes()
+		e.changed, t.attributed = now, false
+	}
 }
 
 // Suspects returns all entries, ordered by fingerprint.
@@ -229,6 +279,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
+	t.attribute()
 	ordered := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return b.compare(a) })
 	var list []Suspect
 	for n, e := range ordered {
@@ -250,30 +301,41 @@
 		if s.Remaining <= 0 {
 			continue
 		}
-		e := t.entry(s.Fingerprint, now)
-		weightBefore, changed := e.weight, false
-		for reported, names := range map[crashState][]string{unproven: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
-			for _, crash := range names {
-				changed = e.setCrash(crash, reported, now) || changed
-			}
-		}
-		t.noteIfQuarantined(s.Fingerprint, weightBefore)
-		if changed {
-			e.changed = now
-			anyNew = anyNew || e.weight > weightBefore
-		}
-		if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
-			e.expires = expires
+		if e := t.entry(s.Fingerprint, now); t.merge(e, s, now) {
+			anyNew = true
 		}
 	}
 	return anyNew
 }
 
+// merge adds the crashes of a suspect to its entry, and reports whether the entry gained weight.
+func (t *Table) merge(e *entry, s Suspect, now time.Time) bool {
+	weightBefore, changed := e.weight, false
+	if s.Part {
+		answered := e.answered || s.Answered || t.answeredParts.has(s.Fingerprint)
+		changed = answered != e.answered
+		e.part, e.answered = true, answered
+	}
+	for reported, names := range map[crashState][]string{unproven: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
+		for _, crash := range names {
+			changed = e.setCrash(crash, reported, slices.Contains(s.Begun, crash), now) || changed
+		}
+	}
+	if changed {
+		e.changed, t.attributed = now, false
+	}
+	if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
+		e.expires = expires
+	}
+	return e.weight > weightBefore
+}
+
 // removeExpired removes the expired entries.
 func (t *Table) removeExpired(now time.Time) {
 	for fingerprint, e := range t.entries {
 		if e.expired(t.term, now) {
 			delete(t.entries, fingerprint)
+			t.attributed = false
 		}
 	}
 }
@@ -285,6 +347,7 @@
 		return e
 	}
 	delete(t.entries, fingerprint)
+	t.attributed = false
 	if len(t.entries) >= t.capacity {
 		evicted := ""
 		for f, other := range t.entries {
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -114,7 +114,7 @@
 				table.Report([]string{crashingContent}, crash, now)
 			}
 			if test.clear {
-				table.Clear(crashingContent, now)
+				table.Clear(quarantine.Content{Name: crashingContent}, now)
 			}
 			table.Merge([]quarantine.Suspect{test.merged}, now)
 			is.New(t).Equal(table.Check(crashingContent, now.Add(test.after)), test.want)
@@ -150,7 +150,7 @@
 	const suspects = 4096
 	table := quarantine.NewTable(quarantine.WithCapacity(suspects))
 	for n := range suspects {
-		table.RecordCrash(fmt.Sprintf("suspect-%d", n), quarantine.Crash{Upstream: fmt.Sprintf("i-%d", n/128), SentAt: now}, now.Add(-time.Minute))
+		table.RecordCrash(quarantine.Content{Name: fmt.Sprintf("suspect-%d", n)}, quarantine.Crash{Upstream: fmt.Sprintf("i-%d", n/128), SentAt: now}, now.Add(-time.Minute))
 	}
 	return table
 }
@@ -172,6 +172,21 @@
 	n := 0
 	for b.Loop() {
 		n++
-		table.RecordCrash(fmt.Sprintf("new-%d", n), quarantine.Crash{Upstream: "i-0", SentAt: now}, now)
+		table.RecordCrash(quarantine.Content{Name: fmt.Sprintf("new-%d", n)}, quarantine.Crash{Upstream: "i-0", SentAt: now}, now)
+	}
+}
+
+// BenchmarkAttribute measures the check after a crash while the table is full and holds quarantined content.
+func BenchmarkAttribute(b *testing.B) {
+	now := time.Now()
+	table := fullTable(now)
+	table.Report([]string{crashingContent}, "a", now)
+	table.Report([]string{crashingContent}, "b", now)
+	n := 0
+	for b.Loop() {
+		n++
+		table.RecordCrash(quarantine.Content{Name: "suspect-4000"}, quarantine.Crash{Upstream: fmt.Sprintf("j-%d", n%4), SentAt: now.Add(time.Duration(n)), Proven: true}, now.Add(time.Duration(n)))
+		table.Clear(quarantine.Content{Name: "suspect-4000"}, now)
+		table.Check("other", now)
 	}
 }
--- a/router/quarantine/tracker.go
+++ b/router/quarantine/tracker.go
@@ -24,6 +24,8 @@
 		Name string
 		// Shared content may be sent by several callers at once.
 		Shared bool
+		// Part content is a part that requests with different contents share, such as a part of a prompt.
+		Part bool
 	}
 
 	// Tracker records the attempts to run contents at upstreams, and attributes the crash of an upstream to
@@ -50,6 +52,8 @@
 		Upstream string
 		Contents []Content
 		SentAt   time.Time
+		// Begun is whether the upstream's answer had begun.
+		Begun bool
 
 		finishedAt time.Time
 	}
@@ -63,7 +67,7 @@
 // Answered clears the contents of an attempt that got a complete answer.
 func (t *Tracker) Answered(a Attempt, now time.Time) {
 	for _, c := range a.Contents {
-		t.table.Clear(c.Name, now)
+		t.table.Clear(c, now)
 	}
 }
 
@@ -169,12 +173,8 @@
 func (t *Tracker) recordCrash(a Attempt, proven bool, now time.Time) bool {
 	anyNew := false
 	for _, c := range a.Contents {
-		crash := Crash{Upstream: a.Upstream, SentAt: a.SentAt, Proven: proven}
-		if c.Shared {
-			anyNew = t.table.RecordSharedCrash(c.Name, crash, now) || anyNew
-		} else {
-			anyNew = t.table.RecordCrash(c.Name, crash, now) || anyNew
-		}
+		crash := Crash{Upstream: a.Upstream, SentAt: a.SentAt, Proven: proven, Begun: a.Begun}
+		anyNew = t.table.RecordCrash(c, crash, now) || anyNew
 	}
 	return anyNew
 }
