--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -61,6 +61,8 @@
 	QuotaOwnerLost = Event{Number: 6029, Text: "quota owner unreachable"}
 	// QuotaOwnerFound is logged when the entry that grants the requests to a limited upstream answers again.
 	QuotaOwnerFound = Event{Number: 6030, Text: "quota owner reachable"}
+	// StoreRestored is logged when the platform's metadata has returned from an older copy.
+	StoreRestored = Event{Number: 6031, Text: "metadata restored from an older copy"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
 )
