upstream: an older copy of the source takes nothing back

After the store had returned from an older copy, servers that had been removed or were draining were used again, and live servers that the copy lacks were dropped until they had written again. Cause: a list from an older copy was applied as a newer one.

The directory is told of the restore. An incarnation that drains stays draining; one that has left within the last minute stays out for 8 s, by when the store has dropped what no longer writes; what the copy lacks has the grace period of an outage. Upstreams that are still listed after 8 s are used again (TestServerThatRegistersAgainIsUsed).

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -12,6 +12,11 @@
 	// removalGrace is how long members that were withdrawn during a source outage are kept after the source
 	// recovers. Live servers publish themselves again within about 2 s.
 	removalGrace = 2 * time.Second
+	// RestoreGrace is how long after a restore of the source an incarnation that had left before is not used again. By
+	// then the source has removed what does not publish itself any more: three heartbeats of about 1.2 s.
+	RestoreGrace = 8 * time.Second
+	// departedRetention is how long an incarnation that has left is kept, in case the source returns from an older copy.
+	departedRetention = time.Minute
 )
 
 type (
@@ -30,10 +35,19 @@
 		sourceUnavailable bool
 		// graceEnd is the end of the grace period after the last source outage.
 		graceEnd time.Time
+		// restoreEnd is the end of RestoreGrace after the last restore of the source.
+		restoreEnd time.Time
+		// departed holds, by ID, the incarnations that have left within departedRetention.
+		departed map[string]departure
 		// onTermination is called once for each incarnation that is found to have terminated.
 		onTermination func(Upstream)
 	}
 
+	// departure is an incarnation that has left.
+	departure struct {
+		started, at time.Time
+	}
+
 	// Option configures a directory.
 	Option func(*Directory)
 
@@ -50,6 +64,7 @@
 		members:       make(map[string]*Member),
 		idsByAddress:  make(map[string][]string),
 		removalDue:    make(map[string]time.Time),
+		departed:      make(map[string]departure),
 		onTermination: func(Upstream) {},
 	}
 	for _, opt := range opts {
@@ -115,6 +130,15 @@
 		// A delayed write of an earlier incarnation does not affect the running one.
 		return false, nil
 	}
+	if left, departed := d.departed[u.ID]; departed && !found && left.started.Equal(u.Started) && time.Now().Before(d.restoreEnd) {
+		// The older copy of a restored source has not seen it leave.
+		return false, nil
+	}
+	delete(d.departed, u.ID)
+	if found && old.Draining && old.Started.Equal(u.Started) && (!u.Started.IsZero() || time.Now().Before(d.restoreEnd)) {
+		// An incarnation that drains never serves again.
+		u.Draining = true
+	}
 	delete(d.removalDue, u.ID)
 	d.membersByRole = nil
 	switch {
@@ -159,6 +183,7 @@
 // drop removes a member. The caller holds the lock.
 func (d *Directory) drop(id string) {
 	d.membersByRole = nil
+	d.departed[id] = departure{started: d.members[id].Started, at: time.Now()}
 	d.removeFromAddress(d.members[id])
 	delete(d.members, id)
 	delete(d.removalDue, id)
@@ -229,9 +254,23 @@
 	d.graceEnd = now.Add(removalGrace)
 }
 
+// SourceRestored records that the source has returned from an older copy, which may lack upstreams and may hold some that
+// have left. It begins the grace period after an outage and RestoreGrace. Call it before Replace.
+func (d *Directory) SourceRestored(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.graceEnd = now.Add(removalGrace)
+	d.restoreEnd = now.Add(RestoreGrace)
+}
+
 // Sweep removes the members whose scheduled removal is due, unless the source is unavailable.
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
+	for id, left := range d.departed {
+		if now.Sub(left.at) > departedRetention && now.After(d.restoreEnd) {
+			delete(d.departed, id)
+		}
+	}
 	var terminated []Upstream
 	for id, due := range d.removalDue {
 		if !d.sourceUnavailable && !now.Before(due) {
@@ -337,6 +376,14 @@
 	return pools
 }
 
+// Contains reports whether an upstream is a member.
+func (d *Directory) Contains(id string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	_, found := d.members[id]
+	return found
+}
+
 // Size returns the number of members.
 func (d *Directory) Size() int {
 	d.mu.RLock()
