upstream: a server that says in its answers that it leaves gets no more requests

Servers that leave now say so in all their answers, which the platform's list may not do yet, or not for an entry that it turns away.

The announcement is kept with the incarnation, also while its registration lapses and returns.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -63,6 +63,8 @@
 	QuotaOwnerFound = Event{Number: 6030, Text: "quota owner reachable"}
 	// StoreRestored is logged when the platform's metadata has returned from an older copy.
 	StoreRestored = Event{Number: 6031, Text: "metadata restored from an older copy"}
+	// UpstreamLeaving is logged when an upstream says in an answer that it leaves.
+	UpstreamLeaving = Event{Number: 6032, Text: "upstream announced that it leaves"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -15,8 +15,9 @@
 	// RestoreGrace is how long after a restore of the source an incarnation that had left before is not used again. By
 	// then the source has removed what does not publish itself any more: three heartbeats of about 1.2 s.
 	RestoreGrace = 8 * time.Second
-	// departedRetention is how long an incarnation that has left is kept, in case the source returns from an older copy.
-	departedRetention = time.Minute
+	// departedRetention is how long an incarnation that has left is kept, in case it is published again: by an older copy of
+	// the source, or because its registration had lapsed.
+	departedRetention = 10 * time.Minute
 )
 
 type (
@@ -43,9 +44,10 @@
 		onTermination func(Upstream)
 	}
 
-	// departure is an incarnation that has left.
+	// departure is an incarnation that has left. announced is whether it had announced that.
 	departure struct {
 		started, at time.Time
+		announced   bool
 	}
 
 	// Option configures a directory.
@@ -130,7 +132,9 @@
 		// A delayed write of an earlier incarnation does not affect the running one.
 		return false, nil
 	}
-	if left, departed := d.departed[u.ID]; departed && !found && left.started.Equal(u.Started) && time.Now().Before(d.restoreEnd) {
+	left, departed := d.departed[u.ID]
+	returns := departed && !found && left.started.Equal(u.Started)
+	if returns && time.Now().Before(d.restoreEnd) {
 		// The older copy of a restored source has not seen it leave.
 		return false, nil
 	}
@@ -143,7 +147,7 @@
 	d.membersByRole = nil
 	switch {
 	case !found || old.Address != u.Address || old.Started != u.Started:
-		next := &Member{Upstream: u, History: &History{}}
+		next := &Member{Upstream: u, History: &History{leaving: returns && left.announced && !u.Started.IsZero()}}
 		terminated := d.replacePredecessors(next)
 		if found {
 			terminated = append(terminated, old.newlyTerminated()...)
@@ -183,8 +187,9 @@
 // drop removes a member. The caller holds the lock.
 func (d *Directory) drop(id string) {
 	d.membersByRole = nil
-	d.departed[id] = departure{started: d.members[id].Started, at: time.Now()}
-	d.removeFromAddress(d.members[id])
+	m := d.members[id]
+	d.departed[id] = departure{started: m.Started, at: time.Now(), announced: m.isLeaving()}
+	d.removeFromAddress(m)
 	delete(d.members, id)
 	delete(d.removalDue, id)
 }
@@ -288,10 +293,10 @@
 	return filter(d.membersInRole(role{pool, phase}), func(m *Member) bool { return m.usable(now) })
 }
 
-// Published returns the members of a pool and phase that are neither draining nor replaced, ordered by ID.
+// Published returns the members of a pool and phase that are neither draining nor leaving nor replaced, ordered by ID.
 // Ejected members are included.
 func (d *Directory) Published(pool string, phase Phase) []*Member {
-	return filter(d.membersInRole(role{pool, phase}), func(m *Member) bool { return !m.isReplaced() })
+	return filter(d.membersInRole(role{pool, phase}), func(m *Member) bool { return !m.isReplaced() && !m.isLeaving() })
 }
 
 func filter(members []*Member, include func(*Member) bool) []*Member {
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -72,6 +72,8 @@
 		ejectedUntil time.Time
 		latency      time.Duration
 		replaced     bool
+		// leaving is whether the upstream has announced that it leaves.
+		leaving bool
 	}
 
 	// Load is the load that this process has in flight at an upstream.
@@ -193,6 +195,23 @@
 	h.replaced = true
 }
 
+// Leaves records that the upstream has announced that it leaves. The member gets no more requests. It reports whether
+// this is new.
+func (h *History) Leaves() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isNew := !h.leaving
+	h.leaving = true
+	return isNew
+}
+
+// isLeaving reports whether the upstream has announced that it leaves.
+func (h *History) isLeaving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
 func (h *History) eject(now time.Time) time.Duration {
 	if now.Before(h.ejectedUntil) {
 		return h.ejectedUntil.Sub(now)
@@ -221,5 +240,5 @@
 func (h *History) usable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.replaced && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil)
+	return !h.replaced && !h.leaving && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil)
 }
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -267,3 +267,30 @@
 	is.True(ejected)
 	is.Equal(pause, 400*time.Millisecond)
 }
+
+// An upstream that has announced that it leaves gets no requests, also after its registration has lapsed and returned. Its
+// next incarnation gets them.
+func TestLeavingUpstreamGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	d, now := upstream.NewDirectory(), time.Now()
+	u := upstream.Upstream{ID: "a", Pool: "p", Address: "10.0.0.1:1", Started: time.UnixMilli(1000)}
+	usable := func() int {
+		return len(d.Ready("p", upstream.PhaseNone, now)) + len(d.Published("p", upstream.PhaseNone))
+	}
+	d.Put(u)
+	is.Equal(usable(), 2)
+	m := d.Published("p", upstream.PhaseNone)[0]
+	is.True(m.Leaves())
+	is.True(!m.Leaves()) // it is known already
+	is.Equal(usable(), 0)
+	changed := u
+	changed.Slots = 7
+	d.Put(changed)
+	is.Equal(usable(), 0)
+	d.Remove("a", now)
+	d.Put(u)
+	is.Equal(usable(), 0)
+	u.Started = time.UnixMilli(2000)
+	d.Put(u)
+	is.Equal(usable(), 2)
+}
