server: a response without an ID on a connection in use again says nothing

A faulty server may write an earlier response once more on a kept connection. A second copy of a refusal that had no attempt ID was taken for the refusal of the request that was sent next, so its caller was told that it had not run, or it was sent to a second server; a copy of an answer was passed to another caller.

A response without one now counts as unknown if its connection has answered before; on a new connection it belongs to the first request.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -46,6 +46,8 @@
 		// expires is when an idle connection is no longer used; zero if unknown.
 		expires      time.Time
 		writtenBytes atomic.Int64
+		// answered is whether the connection has received a response.
+		answered bool
 		// readBudget is the number of bytes that may still be read.
 		readBudget int
 	}
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -48,6 +48,9 @@
 	Answered struct {
 		Response *http.Response
 		Body     *Body
+		// Reused is whether the connection served an earlier request. The response may then be a late one to that request,
+		// unless something in it identifies this one.
+		Reused bool
 	}
 
 	// Request is an HTTP request to one address.
@@ -109,7 +112,9 @@
 		}
 		return Unanswered{Err: eris.Wrap(err, "upstream"), Disconnected: ctx.Err() == nil && isConnectionError(err)}
 	}
-	return Answered{Response: response, Body: c.newBody(k, response, stop, written)}
+	reused := k.answered
+	k.answered = true
+	return Answered{Response: response, Body: c.newBody(k, response, stop, written), Reused: reused}
 }
 
 // isConnectionError reports whether a request failed with its connection. A malformed response head counts as
