gateway: a continued stream takes nothing but the events that follow

A stream had begun and broke off; the next engine answered with a success that is no stream, with text without a number, or with an empty stream. The text got into the middle of the caller's stream, or the stream ended as if it were complete.

An answer that continues a stream has to have the same media type, begins with its first numbered event, and has one.

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -44,6 +44,8 @@
 		// body is the body of an answer without events.
 		body   string
 		status int
+		// contentType is the media type of the answer; empty for none.
+		contentType string
 	}
 
 	// fakeUpstreams implements gateway.Upstreams. Each send takes the next step of its upstream, or the next
@@ -158,10 +160,14 @@
 	if s.status == 0 {
 		s.status = http.StatusOK
 	}
+	header := http.Header{}
+	if s.contentType != "" {
+		header.Set("Content-Type", s.contentType)
+	}
 	if s.events == nil {
-		return gateway.Answer{Status: s.status, Header: http.Header{}, Body: releasableReader{bytes.NewReader([]byte(s.body))}, Length: int64(len(s.body))}
+		return gateway.Answer{Status: s.status, Header: header, Body: releasableReader{bytes.NewReader([]byte(s.body))}, Length: int64(len(s.body))}
 	}
-	return gateway.Answer{Status: s.status, Header: http.Header{}, Body: &streamBody{ctx: ctx, step: s, released: make(chan struct{})}, Length: -1}
+	return gateway.Answer{Status: s.status, Header: header, Body: &streamBody{ctx: ctx, step: s, released: make(chan struct{})}, Length: -1}
 }
 
 type (
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,7 @@
 	errCallerDisconnected = eris.New("the caller left")
 	errEngineStatus       = eris.New("the engine failed")
 	errNoNumberedEvents   = eris.New("the stream has no numbered events")
+	errOtherMediaType     = eris.New("the answer that continues the stream has another media type")
 )
 
 const (
@@ -35,6 +37,8 @@
 	relay struct {
 		activeRequest *activeRequest
 		headSent      bool
+		// mediaType is that of the answer whose head was sent.
+		mediaType string
 		// lastID is the ID of the last event that the caller has, if hasLast is set.
 		lastID  int64
 		hasLast bool
@@ -110,33 +114,57 @@
 	return done{n.deliver(callResult{member: m, body: body}, a)}
 }
 
-// forward sends the complete events of an engine's stream to the caller. It returns nil at the end of the stream.
+// forward sends the complete events of an engine's stream to the caller. It returns nil at the end of the stream. A stream
+// that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
-	if !r.headSent {
-		r.headSent = true
+	mediaType, continues := mediaType(a.Header), r.headSent
+	switch {
+	case !continues:
+		r.headSent, r.mediaType = true, mediaType
 		r.activeRequest.record.Status = a.Status
 		r.activeRequest.reply.Begin(a.Status, a.Header, -1)
+	case mediaType != r.mediaType:
+		return eris.Wrapf(errOtherMediaType, "%q", mediaType)
 	}
 	events := eventstream.NewReader(a.Body)
-	for {
+	for numbered := !continues; ; {
 		e, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && !numbered:
+			return errNoNumberedEvents
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
 			return err
 		}
 		monitor.dataReceived()
+		if numbered = numbered || e.HasID; !numbered {
+			if r.unnumbered++; r.unnumbered > maxUnnumbered {
+				return errNoNumberedEvents
+			}
+			continue
+		}
 		if err := r.forwardEvent(ctx, e); err != nil {
 			return err
 		}
 	}
 }
 
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // isConnectionLoss reports whether an error of forward means that the connection to the engine was lost, rather
 // than that the engine sent an invalid stream.
 func isConnectionLoss(err error) bool {
-	return !errors.Is(err, errEventGap) && !errors.Is(err, errNoNumberedEvents) && !errors.Is(err, eventstream.ErrTooLong)
+	for _, invalid := range []error{errEventGap, errNoNumberedEvents, errOtherMediaType, eventstream.ErrTooLong} {
+		if errors.Is(err, invalid) {
+			return false
+		}
+	}
+	return true
 }
 
 // forwardEvent forwards an event, unless the caller has it already. It returns an error if the event does not
--- /dev/null
+++ b/router/gateway/relay_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/ingress"
+)
+
+// A stream broke off and the next engine answers with something else. Nothing of that reaches the caller, and the stream
+// does not end as if it were complete.
+func TestOtherAnswersDoNotEndUpInAStream(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror"
+	const events = "text/event-stream"
+	broken := step{events: sequence(1, 2), pause: time.Millisecond, err: errBroken, contentType: events}
+	cut := step{body: "id: 1\ndata: x\n\nid: 2\nda", contentType: events}
+	tests := map[string]struct {
+		first, next step
+		want        string
+		// body is what the caller has received.
+		body string
+	}{
+		"an error":                             {broken, step{status: 500, body: head}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"an error that looks like an event":    {broken, step{status: 502, body: "id: 3\ndata: error\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"a success that is no stream":          {broken, step{body: "id: 3\ndata: error\n\n", contentType: "text/plain"}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"a success of another type, no events": {broken, step{body: `{"error":"overloaded"}`, contentType: "application/json"}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"a head in the body":                   {broken, step{body: head + "\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"text without a number":                {broken, step{body: "data: error\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"an empty stream":                      {broken, step{body: "", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"a comment, then the rest":             {broken, step{body: ": wait\n\nid: 3\ndata: x\n\n", contentType: events + "; charset=utf-8"}, "answered", "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"},
+		"comments without end":                 {broken, step{body: strings.Repeat(": wait\n\n", 1000) + "id: 3\ndata: x\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"an end inside an event":               {cut, cut, "upstream_lost/yes", "id: 1\ndata: x\n\n"},
+		"an end inside an event, then all":     {cut, step{body: "id: 2\ndata: x\n\n", contentType: events}, "answered", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstreams{}
+				g := newGateway(t, f, ingress.Streaming{Resumable: true, MaxGap: 50 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+				earnRetries(t, g, 10)
+				f.reset(inSendOrder(bothDecodeEngines(tt.first, tt.next)))
+				a := &recordedReply{}
+				is.Equal(outcome(g.Serve(t.Context(), request(), a)), tt.want)
+				is.Equal(a.String(), tt.body)
+				is.Equal(a.status, http.StatusOK)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// A stream that may not be resumed and ends inside an event is cut for the caller too.
+func TestStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	for name, body := range map[string]string{"inside a line": "id: 1\ndata: x\n\nid: 2\nda", "before the empty line": "id: 1\ndata: x\n\nid: 2\ndata: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstreams{}
+				g := newGateway(t, f, ingress.Streaming{MaxGap: 50 * time.Millisecond})
+				f.reset(inSendOrder(bothDecodeEngines(step{body: body})))
+				a := &recordedReply{}
+				is.Equal(outcome(g.Serve(t.Context(), request(), a)), "upstream_lost/yes")
+				is.Equal(a.String(), "id: 1\ndata: x\n\n")
+				synctest.Wait()
+			})
+		})
+	}
+}
