prefill: an idle engine tries a prompt past its latest start

Now the item with the latest deadline stays as a trial until then, if nothing else could start.

TestIdleQueueTriesPromptPastItsLatestStart was red in 2 of 5 cases.

--- a/router/prefill/idle_test.go
+++ b/router/prefill/idle_test.go
@@ -70,3 +70,44 @@
 	is.Equal(q.Push(item("a", "p", longPrompt, now.Sub(start)+promptBudget), now), nil)
 	is.True(q.Delay(now) < longPrompt*2*cost)
 }
+
+// A prompt whose latest start passes on the way into the queue of an idle engine is tried all the same: nothing else waits.
+// One of several is tried, and none past its deadline.
+func TestIdleQueueTriesPromptPastItsLatestStart(t *testing.T) {
+	tests := map[string]struct {
+		budgets []time.Duration
+		// busy is whether another prefill starts, which takes 282 ms.
+		busy    bool
+		after   time.Duration
+		expired []string
+		tried   string
+	}{
+		"one prompt":         {[]time.Duration{200 * time.Millisecond}, false, 150 * time.Millisecond, nil, "a"},
+		"past its deadline":  {[]time.Duration{200 * time.Millisecond}, false, 201 * time.Millisecond, []string{"a"}, ""},
+		"two prompts":        {[]time.Duration{200 * time.Millisecond, 220 * time.Millisecond}, false, 190 * time.Millisecond, []string{"a"}, "b"},
+		"another is on time": {[]time.Duration{300 * time.Millisecond, time.Second}, false, 250 * time.Millisecond, []string{"a"}, "b"},
+		"the engine works":   {[]time.Duration{250 * time.Millisecond}, true, 160 * time.Millisecond, []string{"a"}, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := prefill.NewQueue(prefill.WithInitialTokenCost(cost))
+			for n, budget := range tt.budgets {
+				is.Equal(q.Push(prefill.Item{Attempt: string(rune('a' + n)), Tokens: longPrompt, Arrived: start, Deadline: start.Add(budget)}, start), nil)
+			}
+			if tt.busy {
+				is.Equal(q.Push(item("x", "p", 3*longPrompt, 400*time.Millisecond), start), nil)
+				next, _ := q.Next(start)
+				is.Equal(next.Attempt, "x")
+			}
+			now := start.Add(tt.after)
+			var expired []string
+			for _, it := range q.Expired(now) {
+				expired = append(expired, it.Attempt)
+			}
+			is.Equal(expired, tt.expired)
+			next, _ := q.Next(now)
+			is.Equal(next.Attempt, tt.tried)
+		})
+	}
+}
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -128,12 +128,7 @@
 func (q *Queue) push(it Item, now time.Time) (forecast admission.Forecast, trial bool, refused *refusal.Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	forecast = admission.Forecast{
-		QueueDelay: q.delay(now),
-		Prefill:    q.cost(it, now),
-		FirstStep:  q.timeAfterPrefill(max(it.Tokens, it.PromptTokens)),
-		Deadline:   it.Deadline,
-	}
+	forecast = q.forecast(it, now)
 	if len(q.waiting) >= q.maxItems {
 		return forecast, false, q.gate.Shed(forecast.QueueDelay)
 	}
@@ -173,8 +168,18 @@
 	return best, found
 }
 
-// Expired removes and returns the items that can no longer meet their deadline, sorted by attempt.
+// Expired removes and returns the items that can no longer meet their deadline, sorted by attempt. If nothing else could
+// start at an idle upstream, the one with the latest deadline stays as a trial until then.
 func (q *Queue) Expired(now time.Time) []Item {
+	expired, trial, forecast := q.expired(now)
+	if trial != nil {
+		q.onTrial(*trial, forecast)
+	}
+	return expired
+}
+
+// expired is Expired. It also returns the item that becomes a trial, or nil, and its forecast.
+func (q *Queue) expired(now time.Time) ([]Item, *Item, admission.Forecast) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var expired []Item
@@ -184,10 +189,41 @@
 		}
 	}
 	slices.SortFunc(expired, func(a, b Item) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	var trial *Item
+	if len(expired) == len(q.waiting) && !now.Before(q.busyUntil) {
+		expired, trial = takeTrial(expired, now)
+	}
 	for _, it := range expired {
 		q.remove(it)
 	}
-	return expired
+	if trial == nil {
+		return expired, nil, admission.Forecast{}
+	}
+	trial.trial = true
+	q.waiting[trial.Attempt] = *trial
+	return expired, trial, q.forecast(*trial, now)
+}
+
+// takeTrial removes the item with the latest deadline from a list, unless it has passed. It returns the others and that
+// item, or nil.
+func takeTrial(items []Item, now time.Time) ([]Item, *Item) {
+	if len(items) == 0 {
+		return items, nil
+	}
+	latest := 0
+	for n, it := range items {
+		if it.Deadline.After(items[latest].Deadline) {
+			latest = n
+		}
+	}
+	if trial := items[latest]; !now.After(trial.Deadline) {
+		others := slices.Delete(items, latest, latest+1)
+		if len(others) == 0 {
+			others = nil
+		}
+		return others, &trial
+	}
+	return items, nil
 }
 
 // Remove removes an item and reports whether it was queued.
@@ -240,6 +276,16 @@
 	q.tokenCost.record(took/time.Duration(tokens), now)
 }
 
+// forecast returns what is predicted for an item that is queued last.
+func (q *Queue) forecast(it Item, now time.Time) admission.Forecast {
+	return admission.Forecast{
+		QueueDelay: q.delay(now),
+		Prefill:    q.cost(it, now),
+		FirstStep:  q.timeAfterPrefill(max(it.Tokens, it.PromptTokens)),
+		Deadline:   it.Deadline,
+	}
+}
+
 func (q *Queue) idle(now time.Time) bool {
 	return len(q.waiting) == 0 && !now.Before(q.busyUntil)
 }
