route: the hints of one model expire whatever other models do

A load hint that reports an upstream as full expires after a second, for the requests of one model at a time; the expiry reset the age of the hint for all models. Each model's queue now keeps when it discarded the hint. TestHintExpiresForEachModel was red before.

--- a/router/route/hint.go
+++ b/router/route/hint.go
@@ -20,10 +20,10 @@
 	defer r.mu.Unlock()
 	for _, name := range slices.Concat(p.Prefills, p.Decodes) {
 		load, known := r.loads[name]
-		if !known || now.Sub(r.observedAt[name]) < hintExpiry || (load.Accepting && load.FreePieces > 0) {
+		if !known || now.Sub(r.observedAt[name]) < hintExpiry || now.Sub(q.forgottenAt[name]) < hintExpiry || (load.Accepting && load.FreePieces > 0) {
 			continue
 		}
-		r.observedAt[name] = now
+		q.forgottenAt[name] = now
 		q.dispatcher.Forget(name, now)
 	}
 }
--- a/router/route/hint_test.go
+++ b/router/route/hint_test.go
@@ -61,3 +61,37 @@
 		})
 	}
 }
+
+// Each model's requests try an upstream again whose hint has expired, also while another model's requests do so all the time.
+func TestHintExpiresForEachModel(t *testing.T) {
+	index, err := configuration.NewIndex(&configuration.Configuration{
+		Revision: 1,
+		Upstreams: []configuration.Upstream{
+			{Name: "u0", Kind: configuration.KindEngine, Labels: label.Labels{"role": "prefill"}},
+			{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}},
+		},
+		Pools: []configuration.Pool{
+			{Name: "p", Role: configuration.RolePrefill, Selector: "role=prefill"},
+			{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"},
+		},
+		Rules: []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}, {Name: "s", Model: "n", PrefillPool: "p", DecodePool: "d"}},
+	})
+	is.New(t).NoErr(err)
+	store := configuration.NewStore()
+	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
+	synctest.Test(t, func(t *testing.T) {
+		r := route.NewRouter(route.Self{Name: "entry"}, store, vm.NewTable(), rand.New(rand.NewPCG(1, 1)))
+		assigned := func(model string) bool {
+			p, refused := r.Admit(&request.Generation{Model: model, Prompt: "p"}, "p", nil, time.Now())
+			if refused == nil {
+				_, refused = p.DecodeTarget(t.Context(), false, nil)
+			}
+			return refused == nil
+		}
+		is := is.New(t)
+		r.Observe(port.Load{Upstream: "u1", TotalPieces: 64, RunningLimit: 8, Accepting: true}, time.Now())
+		time.Sleep(time.Second)
+		is.True(assigned("m"))
+		is.True(assigned("n"))
+	})
+}
--- a/router/route/queue.go
+++ b/router/route/queue.go
@@ -24,6 +24,8 @@
 	decodeQueue struct {
 		dispatcher *dispatch.Dispatcher
 		limits     configuration.Limits
+		// forgottenAt is when the load hint of an upstream was discarded last. The router's lock guards it.
+		forgottenAt map[string]time.Time
 
 		mu      sync.Mutex
 		waiters map[*dispatch.Ticket]chan dispatch.Assignment
@@ -41,9 +43,10 @@
 	if !found || q.limits != limits {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
 		q = &decodeQueue{
-			dispatcher: dispatch.New(random, options(&limits)...),
-			limits:     limits,
-			waiters:    make(map[*dispatch.Ticket]chan dispatch.Assignment),
+			dispatcher:  dispatch.New(random, options(&limits)...),
+			limits:      limits,
+			forgottenAt: make(map[string]time.Time),
+			waiters:     make(map[*dispatch.Ticket]chan dispatch.Assignment),
 		}
 		r.queues[model] = q
 	}
