--- a/router/event/bounded.go
+++ b/router/event/bounded.go
@@ -34,7 +34,7 @@
 	rateLimits struct {
 		routine *rate.Limiter
 		failure *rate.Limiter
-		dropped *atomic.Int64
+		queue   *Queue
 	}
 )
 
@@ -55,6 +55,11 @@
 	return len(line), nil
 }
 
+// nearlyFull reports whether more than half of the queue is used.
+func (q *Queue) nearlyFull() bool {
+	return len(q.lines) > maxQueuedLines/2
+}
+
 // Close writes the queued lines. It returns after the given time at the latest.
 func (q *Queue) Close(timeout time.Duration) {
 	close(q.closeRequested)
@@ -97,7 +102,7 @@
 	l.limits = &rateLimits{
 		routine: rate.NewLimiter(routineLinesPerSecond, routineLinesPerSecond),
 		failure: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond),
-		dropped: &q.dropped,
+		queue:   q,
 	}
 	return l
 }
@@ -114,8 +119,12 @@
 		case <-stop:
 			return
 		case <-t.C:
-			if n := l.limits.dropped.Swap(0); n > 0 {
-				l.Error(nil, LinesDropped, "lines", n)
+			if l.limits.queue.nearlyFull() {
+				continue // The line would be dropped, and the number with it.
+			}
+			if n := l.limits.queue.dropped.Swap(0); n > 0 {
+				unbounded := Log{logger: l.logger}
+				unbounded.Error(nil, LinesDropped, "lines", n)
 			}
 		}
 	}
@@ -136,6 +145,6 @@
 	if l.Allow() {
 		return true
 	}
-	r.dropped.Add(1)
+	r.queue.dropped.Add(1)
 	return false
 }
--- a/router/event/bounded_test.go
+++ b/router/event/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"runtime"
 	"strings"
@@ -100,3 +101,39 @@
 		is.True(strings.Count(w.lines(), `"event":6001`) < 500)
 	})
 }
+
+// The number of dropped lines is reported while failures use up their bound.
+func TestDroppedLinesAreReportedUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		close(w.release)
+		q := event.NewQueue(w)
+		log := event.NewBoundedLog(q, "entry-a")
+		stop := make(chan struct{})
+		go log.ReportDropped(stop)
+		written := 0
+		for range 21_000 {
+			log.Error(errLost, event.UpstreamEjected)
+			written++
+			time.Sleep(time.Millisecond)
+		}
+		close(stop)
+		q.Close(time.Second)
+		reported := 0
+		for line := range strings.Lines(w.lines()) {
+			var l struct {
+				Event int `json:"event"`
+				Lines int `json:"lines"`
+			}
+			is.NoErr(json.Unmarshal([]byte(line), &l))
+			if l.Event == event.LinesDropped.Number {
+				reported += l.Lines
+			} else {
+				written--
+			}
+		}
+		// The lines of the last second are not reported yet.
+		is.True(reported <= written && reported >= written-1000)
+	})
+}
