prefill: a partner that was idle gets no credit for the time before

The queue serves no partner more than a quantum ahead of the least served one that waits. Now it starts at the least served of those that wait.

--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -141,6 +141,9 @@
 	if earlier, found := q.waiting[it.Attempt]; found {
 		q.queuedTokens -= earlier.Tokens
 	}
+	if !q.waits(it.Partner) {
+		q.servedTokens[it.Partner] = max(q.servedTokens[it.Partner], q.leastServed())
+	}
 	q.waiting[it.Attempt] = it
 	q.queuedTokens += it.Tokens
 	return forecast, it.trial, nil
@@ -335,6 +338,16 @@
 	}
 }
 
+// waits reports whether an item of a partner is queued.
+func (q *Queue) waits(partner string) bool {
+	for _, it := range q.waiting {
+		if it.Partner == partner {
+			return true
+		}
+	}
+	return false
+}
+
 // leastServed returns the served tokens of the waiting partner that was served least.
 func (q *Queue) leastServed() float64 {
 	least, found := 0.0, false
--- a/router/prefill/queue_test.go
+++ b/router/prefill/queue_test.go
@@ -126,3 +126,29 @@
 	is.True(q.Remove("a"))
 	is.Equal(q.Delay(start), time.Duration(0))
 }
+
+// A partner that was idle gets its share from its return on, and no credit for the time before: the others are not kept waiting
+// until it has caught up.
+func TestIdlePartnerGetsNoCredit(t *testing.T) {
+	is := is.New(t)
+	q := prefill.NewQueue(prefill.WithInitialTokenCost(time.Microsecond), prefill.WithQuantum(2000))
+	push := func(partner string, items int) {
+		for n := range items {
+			is.Equal(q.Push(item(fmt.Sprintf("%s-%03d", partner, n), partner, 1000, time.Hour), start), nil)
+		}
+	}
+	push("busy", 120)
+	for range 60 {
+		_, found := q.Next(start)
+		is.True(found)
+	}
+	push("idle", 60)
+	served := map[string]int{}
+	for range 20 {
+		it, found := q.Next(start)
+		is.True(found)
+		served[it.Partner]++
+	}
+	is.True(served["idle"] >= 8)
+	is.True(served["busy"] >= 8)
+}
