gateway: 28 suspects in an exchange, so that parts fit the bandwidth of control

Suspected prompt parts take more bytes than contents (three crashes instead of two): an exchange of 32 of them, 32 limits and 25 members had 6,739 bytes, 27.0 KB a second of the 26 that control may use (TestExchangesFitControlBandwidth with parts, red). With 28 it has 6,287 bytes, 25.1 KB.

--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -37,9 +37,10 @@
 	for i := range 32 {
 		update.Ejected = append(update.Ejected, fmt.Sprintf("i-%010x", i))
 	}
-	for i := range 32 {
+	for i := range 28 {
 		update.Suspects = append(update.Suspects, quarantine.Suspect{
-			Fingerprint: strings.Repeat("f", 16), Crashes: []string{fmt.Sprintf("i-%010x@1790000000123", i), "i-0123456789@1790000000123"}, Remaining: 10 * time.Minute,
+			Fingerprint: "part:" + strings.Repeat("f", 12), Part: true, Answered: true, Remaining: 10 * time.Minute,
+			Crashes: []string{fmt.Sprintf("i-%010x@1790000000123", i), "i-0123456789@1790000000123", "i-0123456788@1790000000123"},
 		})
 	}
 	for i := range 32 {
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxSuspectsShared bounds the suspects that are sent to other entries at once.
-	maxSuspectsShared = 32
+	maxSuspectsShared = 28
 	// maxSuspects bounds the suspects that are kept: two names for each request that ran at one of thirty
 	// busy engines when these crashed.
 	maxSuspects = 4096
