--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -93,9 +93,7 @@
 	// NotRun means that the upstream did not run the request and never will.
 	NotRun struct {
 		Reason NotRunReason
-		// RetryAfter is when the upstream expects to have capacity; zero if it did not say.
-		RetryAfter time.Duration
-		Err        error
+		Err    error
 	}
 
 	// Unknown means that the request was sent and the upstream may or may not run it.
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -59,23 +59,6 @@
 		Attempts int
 	}
 
-	// Outcome is the result of a reservation attempt: Reserved, Full, Limited or Failed.
-	//
-	//sumtype:decl
-	Outcome interface{ outcome() }
-
-	// Reserved is the outcome when the engine holds the memory under an ID.
-	Reserved struct{ ID string }
-
-	// Full is the outcome when the engine does not have that much free memory.
-	Full struct{}
-
-	// Limited is the outcome when the engine takes no more requests for a time.
-	Limited struct{ RetryAfter time.Duration }
-
-	// Failed is the outcome when the engine does not answer, or another incarnation answers at its address.
-	Failed struct{ Err error }
-
 	// Reserver requests memory for a number of tokens from an engine.
 	Reserver func(ctx context.Context, m *upstream.Member, tokens int) Outcome
 
@@ -135,11 +118,6 @@
 	}
 )
 
-func (Reserved) outcome() {}
-func (Full) outcome()     {}
-func (Limited) outcome()  {}
-func (Failed) outcome()   {}
-
 // NewQueue returns an empty queue. members returns the decode engines that accept work.
 func NewQueue(reserve Reserver, release Releaser, members func() []*upstream.Member, opts ...Option) *Queue {
 	q := &Queue{
