upstream: an announcement belongs to the incarnation that ran when it was made

The entries knew its earlier incarnation only and kept the announcement with that one; when the new registration arrived, it was forgotten, and three entries sent to the leaving server again. The same start of another incarnation under the ID now takes the announcement over, if it ran when it was made.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -15,6 +15,8 @@
 	// RestoreGrace is how long after a restore of the source an incarnation that had left before is not used again. By
 	// then the source has removed what does not publish itself any more: three heartbeats of about 1.2 s.
 	RestoreGrace = 8 * time.Second
+	// startTolerance is how far the clocks of a server and of this process may differ when a start is compared.
+	startTolerance = time.Second
 	// departedRetention is how long an incarnation that has left is kept, in case it is published again: by an older copy of
 	// the source, or because its registration had lapsed.
 	departedRetention = 10 * time.Minute
@@ -44,10 +46,11 @@
 		onTermination func(Upstream)
 	}
 
-	// departure is an incarnation that has left. announced is whether it had announced that.
+	// departure is an incarnation that has left. leavingAt is when it announced that; zero if it did not.
 	departure struct {
+		address     string
 		started, at time.Time
-		announced   bool
+		leavingAt   time.Time
 	}
 
 	// Option configures a directory.
@@ -147,7 +150,10 @@
 	d.membersByRole = nil
 	switch {
 	case !found || old.Address != u.Address || old.Started != u.Started:
-		next := &Member{Upstream: u, History: &History{leaving: returns && left.announced && !u.Started.IsZero()}}
+		if found {
+			left = old.departure()
+		}
+		next := &Member{Upstream: u, History: &History{leavingAt: left.announcementOf(u)}}
 		terminated := d.replacePredecessors(next)
 		if found {
 			terminated = append(terminated, old.newlyTerminated()...)
@@ -164,6 +170,21 @@
 	return false, nil
 }
 
+// departure returns the member as one that leaves now.
+func (m *Member) departure() departure {
+	return departure{address: m.Address, started: m.Started, at: time.Now(), leavingAt: m.lastLeavingAt()}
+}
+
+// announcementOf returns when the incarnation that is published now, under the same ID, announced that it leaves, or zero. A
+// server that restarts under its ID may announce it before its registration is known here.
+func (l departure) announcementOf(u Upstream) time.Time {
+	ranThen := u.Address == l.address && u.Started.Add(startTolerance).Before(l.leavingAt)
+	if u.Started.IsZero() || !u.Started.Equal(l.started) && !ranThen {
+		return time.Time{}
+	}
+	return l.leavingAt
+}
+
 // Remove removes an upstream and reports whether it did. While the source is unavailable and during the grace
 // period after an outage, it schedules the removal instead.
 func (d *Directory) Remove(id string, now time.Time) bool {
@@ -188,7 +209,7 @@
 func (d *Directory) drop(id string) {
 	d.membersByRole = nil
 	m := d.members[id]
-	d.departed[id] = departure{started: m.Started, at: time.Now(), announced: m.isLeaving()}
+	d.departed[id] = m.departure()
 	d.removeFromAddress(m)
 	delete(d.members, id)
 	delete(d.removalDue, id)
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -74,8 +74,8 @@
 		replaced     bool
 		// backoffUntil is the end of the time for which the upstream has asked for no requests.
 		backoffUntil time.Time
-		// leaving is whether the upstream has announced that it leaves.
-		leaving bool
+		// leavingAt is when the upstream announced last that it leaves; zero if it has not.
+		leavingAt time.Time
 	}
 
 	// Load is the load that this process has in flight at an upstream.
@@ -215,19 +215,24 @@
 
 // Leaves records that the upstream has announced that it leaves. The member gets no more requests. It reports whether
 // this is new.
-func (h *History) Leaves() bool {
+func (h *History) Leaves(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	isNew := !h.leaving
-	h.leaving = true
+	isNew := h.leavingAt.IsZero()
+	h.leavingAt = now
 	return isNew
 }
 
-// isLeaving reports whether the upstream has announced that it leaves.
-func (h *History) isLeaving() bool {
+// lastLeavingAt returns when the upstream announced last that it leaves; zero if it has not.
+func (h *History) lastLeavingAt() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving
+	return h.leavingAt
+}
+
+// isLeaving reports whether the upstream has announced that it leaves.
+func (h *History) isLeaving() bool {
+	return !h.lastLeavingAt().IsZero()
 }
 
 func (h *History) eject(now time.Time) time.Duration {
@@ -258,5 +263,5 @@
 func (h *History) usable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.replaced && !h.leaving && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
+	return !h.replaced && h.leavingAt.IsZero() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
 }
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -280,8 +280,8 @@
 	d.Put(u)
 	is.Equal(usable(), 2)
 	m := d.Published("p", upstream.PhaseNone)[0]
-	is.True(m.Leaves())
-	is.True(!m.Leaves()) // it is known already
+	is.True(m.Leaves(now))
+	is.True(!m.Leaves(now)) // it is known already
 	is.Equal(usable(), 0)
 	changed := u
 	changed.Slots = 7
@@ -290,7 +290,37 @@
 	d.Remove("a", now)
 	d.Put(u)
 	is.Equal(usable(), 0)
-	u.Started = time.UnixMilli(2000)
+	u.Started = now.Add(time.Second)
 	d.Put(u)
 	is.Equal(usable(), 2)
 }
+
+// A server restarts under its ID and announces that it leaves before its new registration is known. The announcement belongs
+// to the incarnation that ran then, not to one that starts later.
+func TestAnnouncementBelongsToTheIncarnationThatRan(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		started time.Time
+		removed bool
+		want    int
+	}{
+		"ran when it was announced":           {now.Add(-3 * time.Second), false, 0},
+		"started later":                       {now.Add(2 * time.Second), false, 1},
+		"ran, the earlier one was removed":    {now.Add(-3 * time.Second), true, 0},
+		"started later, after it was removed": {now.Add(2 * time.Second), true, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := upstream.NewDirectory()
+			u := upstream.Upstream{ID: "a", Pool: "p", Address: "10.0.0.1:1", Started: now.Add(-time.Hour)}
+			d.Put(u)
+			d.Published("p", upstream.PhaseNone)[0].Leaves(now)
+			if tt.removed {
+				d.Remove("a", now)
+			}
+			u.Started = tt.started
+			d.Put(u)
+			is.New(t).Equal(len(d.Published("p", upstream.PhaseNone)), tt.want)
+		})
+	}
+}
