upstream: an incarnation does not return after a later one was removed

It was published, and requests under the ID reached the second. TestRestoredSourceTakesNothingBack has the case.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -136,6 +136,10 @@
 		return false, nil
 	}
 	left, departed := d.departed[u.ID]
+	if departed && !found && !u.Started.IsZero() && u.Started.Before(left.started) {
+		// An older copy lists an incarnation from before the one that has left.
+		return false, nil
+	}
 	returns := departed && !found && left.started.Equal(u.Started)
 	if returns && time.Now().Before(d.restoreEnd) {
 		// The older copy of a restored source has not seen it leave.
--- a/router/upstream/restore_test.go
+++ b/router/upstream/restore_test.go
@@ -24,15 +24,16 @@
 		at   time.Duration
 		want bool
 	}{
-		"removed":                        {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{engine}, time.Second, false},
-		"removed, then started anew":     {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{restarted}, time.Second, true},
-		"draining":                       {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{engine}, time.Second, false},
-		"draining, long ago":             {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{engine}, time.Hour, false},
-		"draining, then started anew":    {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{restarted}, time.Second, true},
-		"not in the copy":                {func(*upstream.Directory) {}, nil, time.Second, true},
-		"not in the copy after a time":   {func(*upstream.Directory) {}, nil, 3 * time.Second, false},
-		"in the copy":                    {func(*upstream.Directory) {}, []upstream.Upstream{engine}, time.Hour, true},
-		"removed, still listed later on": {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{engine}, upstream.RestoreGrace + time.Second, true},
+		"removed":                         {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{engine}, time.Second, false},
+		"removed, then started anew":      {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{restarted}, time.Second, true},
+		"a later incarnation was removed": {func(d *upstream.Directory) { d.Put(restarted); d.Remove("a", time.Now()) }, []upstream.Upstream{engine}, upstream.RestoreGrace + time.Second, false},
+		"draining":                        {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{engine}, time.Second, false},
+		"draining, long ago":              {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{engine}, time.Hour, false},
+		"draining, then started anew":     {func(d *upstream.Directory) { d.Put(draining) }, []upstream.Upstream{restarted}, time.Second, true},
+		"not in the copy":                 {func(*upstream.Directory) {}, nil, time.Second, true},
+		"not in the copy after a time":    {func(*upstream.Directory) {}, nil, 3 * time.Second, false},
+		"in the copy":                     {func(*upstream.Directory) {}, []upstream.Upstream{engine}, time.Hour, true},
+		"removed, still listed later on":  {func(d *upstream.Directory) { d.Remove("a", time.Now()) }, []upstream.Upstream{engine}, upstream.RestoreGrace + time.Second, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
