upstream: one record of an ID's last incarnation, whether it is published or has left

Directory.put compared an upstream with the member of its ID and with the departed one in two twin checks, and again for announcements. Behaviour and tests are unchanged.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -12,14 +12,6 @@
 	// removalGrace is how long members that were withdrawn during a source outage are kept after the source
 	// recovers. Live servers publish themselves again within about 2 s.
 	removalGrace = 2 * time.Second
-	// RestoreGrace is how long after a restore of the source an incarnation that had left before is not used again. By
-	// then the source has removed what does not publish itself any more: three heartbeats of about 1.2 s.
-	RestoreGrace = 8 * time.Second
-	// startTolerance is how far the clocks of a server and of this process may differ when a start is compared.
-	startTolerance = time.Second
-	// departedRetention is how long an incarnation that has left is kept, in case it is published again: by an older copy of
-	// the source, or because its registration had lapsed.
-	departedRetention = 10 * time.Minute
 )
 
 type (
@@ -46,13 +38,6 @@
 		onTermination func(Upstream)
 	}
 
-	// departure is an incarnation that has left. leavingAt is when it announced that; zero if it did not.
-	departure struct {
-		address     string
-		started, at time.Time
-		leavingAt   time.Time
-	}
-
 	// Option configures a directory.
 	Option func(*Directory)
 
@@ -131,33 +116,28 @@
 // the incarnations that it shows to have terminated. The caller holds the lock.
 func (d *Directory) put(u Upstream) (bool, []Upstream) {
 	old, found := d.members[u.ID]
-	if found && u.Started.Before(old.Started) && !u.Started.IsZero() {
-		// A delayed write of an earlier incarnation does not affect the running one.
-		return false, nil
+	last, known := d.departed[u.ID]
+	if found {
+		last, known = old.departure(), true
 	}
-	left, departed := d.departed[u.ID]
-	if departed && !found && !u.Started.IsZero() && u.Started.Before(left.started) {
-		// An older copy lists an incarnation from before the one that has left.
+	restoring := time.Now().Before(d.restoreEnd)
+	switch {
+	case known && u.Started.Before(last.started) && !u.Started.IsZero():
+		// A delayed write of an earlier incarnation, or an older copy of the source, does not affect a later one.
 		return false, nil
-	}
-	returns := departed && !found && left.started.Equal(u.Started)
-	if returns && time.Now().Before(d.restoreEnd) {
+	case known && !found && restoring && u.Started.Equal(last.started):
 		// The older copy of a restored source has not seen it leave.
 		return false, nil
-	}
-	delete(d.departed, u.ID)
-	if found && old.Draining && old.Started.Equal(u.Started) && (!u.Started.IsZero() || time.Now().Before(d.restoreEnd)) {
+	case found && old.Draining && u.Started.Equal(last.started) && (restoring || !u.Started.IsZero()):
 		// An incarnation that drains never serves again.
 		u.Draining = true
 	}
+	delete(d.departed, u.ID)
 	delete(d.removalDue, u.ID)
 	d.membersByRole = nil
 	switch {
 	case !found || old.Address != u.Address || old.Started != u.Started:
-		if found {
-			left = old.departure()
-		}
-		next := &Member{Upstream: u, History: &History{leavingAt: left.announcementOf(u)}}
+		next := &Member{Upstream: u, History: &History{leavingAt: last.announcementOf(u)}}
 		terminated := d.replacePredecessors(next)
 		if found {
 			terminated = append(terminated, old.newlyTerminated()...)
@@ -174,21 +154,6 @@
 	return false, nil
 }
 
-// departure returns the member as one that leaves now.
-func (m *Member) departure() departure {
-	return departure{address: m.Address, started: m.Started, at: time.Now(), leavingAt: m.lastLeavingAt()}
-}
-
-// announcementOf returns when the incarnation that is published now, under the same ID, announced that it leaves, or zero. A
-// server that restarts under its ID may announce it before its registration is known here.
-func (l departure) announcementOf(u Upstream) time.Time {
-	ranThen := u.Address == l.address && u.Started.Add(startTolerance).Before(l.leavingAt)
-	if u.Started.IsZero() || !u.Started.Equal(l.started) && !ranThen {
-		return time.Time{}
-	}
-	return l.leavingAt
-}
-
 // Remove removes an upstream and reports whether it did. While the source is unavailable and during the grace
 // period after an outage, it schedules the removal instead.
 func (d *Directory) Remove(id string, now time.Time) bool {
@@ -284,23 +249,10 @@
 	d.graceEnd = now.Add(removalGrace)
 }
 
-// SourceRestored records that the source has returned from an older copy, which may lack upstreams and may hold some that
-// have left. It begins the grace period after an outage and RestoreGrace. Call it before Replace.
-func (d *Directory) SourceRestored(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.graceEnd = now.Add(removalGrace)
-	d.restoreEnd = now.Add(RestoreGrace)
-}
-
 // Sweep removes the members whose scheduled removal is due, unless the source is unavailable.
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
-	for id, left := range d.departed {
-		if now.Sub(left.at) > departedRetention && now.After(d.restoreEnd) {
-			delete(d.departed, id)
-		}
-	}
+	d.forgetDeparted(now)
 	var terminated []Upstream
 	for id, due := range d.removalDue {
 		if !d.sourceUnavailable && !now.Before(due) {
