Call one piece where the change had written twins

- The shortest wait of upstreams was computed for services and for engines: shortestWait.
- Events without a number were counted in two places of the relay: forwardEvent alone counts.
- An entry was marked as that of a part when it is recorded and when it is merged: markPart.
No behaviour, bound or expectation changes.

--- a/router/gateway/choose.go
+++ b/router/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gooseberrypin.example/router/upstream"
@@ -83,18 +84,21 @@
 	if ready := g.directory.Ready(pool, upstream.PhaseNone, now); len(ready) > 0 {
 		return ready, 0
 	}
-	var members []*upstream.Member
+	members := g.directory.Published(pool, upstream.PhaseNone)
+	backoff := func(m *upstream.Member) time.Duration { return m.Backoff(now) }
+	if shortest := shortestWait(members, backoff); shortest > 0 {
+		return nil, shortest
+	}
+	return slices.DeleteFunc(members, func(m *upstream.Member) bool { return backoff(m) > 0 }), 0
+}
+
+// shortestWait returns the shortest of the waits of members. It is 0 if one of them has none, or if there are no members.
+func shortestWait(members []*upstream.Member, wait func(*upstream.Member) time.Duration) time.Duration {
 	shortest := time.Duration(0)
-	for _, m := range g.directory.Published(pool, upstream.PhaseNone) {
-		switch wait := m.Backoff(now); {
-		case wait == 0:
-			members = append(members, m)
-		case shortest == 0 || wait < shortest:
-			shortest = wait
+	for n, m := range members {
+		if w := wait(m); n == 0 || w < shortest {
+			shortest = w
 		}
 	}
-	if len(members) > 0 {
-		return members, 0
-	}
-	return nil, shortest
+	return shortest
 }
--- a/router/gateway/quota.go
+++ b/router/gateway/quota.go
@@ -90,15 +90,7 @@
 // allLimited returns the time until the first of the upstreams may take a request, as far as this entry knows: by its limit
 // and by the pause that it asked for. It is 0 if one of them may take a request now, or if there are none.
 func (ar *activeRequest) allLimited(members []*upstream.Member, now time.Time) time.Duration {
-	shortest := time.Duration(0)
-	for _, m := range members {
-		wait := max(ar.gateway.quota.RetryAfter(m.Incarnation()), m.Backoff(now))
-		if wait == 0 {
-			return 0
-		}
-		if shortest == 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-	return shortest
+	return shortestWait(members, func(m *upstream.Member) time.Duration {
+		return max(ar.gateway.quota.RetryAfter(m.Incarnation()), m.Backoff(now))
+	})
 }
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -48,6 +48,8 @@
 		lastEventAt time.Time
 		// unnumbered counts the events without a number since the last numbered one.
 		unnumbered int
+		// awaitsNumber is whether the current answer continues a stream and has sent no numbered event.
+		awaitsNumber bool
 		// received counts the numbered events that were received from all engines.
 		received int
 	}
@@ -117,9 +119,10 @@
 // forward sends the complete events of an engine's stream to the caller. It returns nil at the end of the stream. A stream
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
-	mediaType, continues := mediaType(a.Header), r.headSent
+	mediaType := mediaType(a.Header)
+	r.awaitsNumber = r.headSent
 	switch {
-	case !continues:
+	case !r.headSent:
 		r.headSent, r.mediaType = true, mediaType
 		r.activeRequest.record.Status = a.Status
 		r.activeRequest.reply.Begin(a.Status, a.Header, -1)
@@ -127,10 +130,10 @@
 		return eris.Wrapf(errOtherMediaType, "%q", mediaType)
 	}
 	events := eventstream.NewReader(a.Body)
-	for numbered := !continues; ; {
+	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && !numbered:
+		case errors.Is(err, io.EOF) && r.awaitsNumber:
 			return errNoNumberedEvents
 		case errors.Is(err, io.EOF):
 			return nil
@@ -138,12 +141,6 @@
 			return err
 		}
 		monitor.dataReceived()
-		if numbered = numbered || e.HasID; !numbered {
-			if r.unnumbered++; r.unnumbered > maxUnnumbered {
-				return errNoNumberedEvents
-			}
-			continue
-		}
 		if err := r.forwardEvent(ctx, e); err != nil {
 			return err
 		}
@@ -167,15 +164,18 @@
 	return true
 }
 
-// forwardEvent forwards an event, unless the caller has it already. It returns an error if the event does not
-// follow the last one, or if the caller has disconnected.
+// forwardEvent forwards an event, unless the caller has it already or it precedes the first numbered event of a continued
+// stream. It returns an error if the event does not follow the last one, or if the caller has disconnected.
 func (r *relay) forwardEvent(ctx context.Context, e eventstream.Event) error {
 	r.unnumbered++
 	if r.unnumbered > maxUnnumbered {
 		return errNoNumberedEvents
 	}
+	if !e.HasID && r.awaitsNumber {
+		return nil
+	}
 	if e.HasID {
-		r.unnumbered = 0
+		r.unnumbered, r.awaitsNumber = 0, false
 		r.received++
 		switch {
 		case r.hasLast && e.ID <= r.lastID:
--- a/router/prefill/queue.go
+++ b/router/prefill/queue.go
@@ -192,41 +192,35 @@
 		}
 	}
 	slices.SortFunc(expired, func(a, b Item) int { return cmp.Compare(a.Attempt, b.Attempt) })
-	var trial *Item
+	trial, found := Item{}, false
 	if len(expired) == len(q.waiting) && !now.Before(q.busyUntil) {
-		expired, trial = takeTrial(expired, now)
+		expired, trial, found = takeTrial(expired, now)
 	}
 	for _, it := range expired {
 		q.remove(it)
 	}
-	if trial == nil {
+	if !found {
 		return expired, nil, admission.Forecast{}
 	}
 	trial.trial = true
-	q.waiting[trial.Attempt] = *trial
-	return expired, trial, q.forecast(*trial, now)
+	q.waiting[trial.Attempt] = trial
+	return expired, &trial, q.forecast(trial, now)
 }
 
-// takeTrial removes the item with the latest deadline from a list, unless it has passed. It returns the others and that
-// item, or nil.
-func takeTrial(items []Item, now time.Time) ([]Item, *Item) {
-	if len(items) == 0 {
-		return items, nil
-	}
+// takeTrial removes the item with the latest deadline from a list, unless that has passed. It returns the others and that
+// item.
+func takeTrial(items []Item, now time.Time) ([]Item, Item, bool) {
 	latest := 0
 	for n, it := range items {
 		if it.Deadline.After(items[latest].Deadline) {
 			latest = n
 		}
 	}
-	if trial := items[latest]; !now.After(trial.Deadline) {
-		others := slices.Delete(items, latest, latest+1)
-		if len(others) == 0 {
-			others = nil
-		}
-		return others, &trial
+	if len(items) == 0 || now.After(items[latest].Deadline) {
+		return items, Item{}, false
 	}
-	return items, nil
+	trial := items[latest]
+	return slices.Delete(items, latest, latest+1), trial, true
 }
 
 // Remove removes an item and reports whether it was queued.
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -172,8 +172,8 @@
 
 func (t *Table) recordCrash(content Content, c Crash, now time.Time) bool {
 	e := t.entry(content.Name, now)
-	if content.Part && !e.part {
-		e.part, e.answered = true, t.answeredParts.has(content.Name)
+	if content.Part {
+		t.markPart(e, false)
 	}
 	if !e.addCrash(c, now) {
 		return false
@@ -279,7 +279,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
-	t.attribute()
 	ordered := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return b.compare(a) })
 	var list []Suspect
 	for n, e := range ordered {
@@ -312,9 +311,7 @@
 func (t *Table) merge(e *entry, s Suspect, now time.Time) bool {
 	weightBefore, changed := e.weight, false
 	if s.Part {
-		answered := e.answered || s.Answered || t.answeredParts.has(s.Fingerprint)
-		changed = answered != e.answered
-		e.part, e.answered = true, answered
+		changed = t.markPart(e, s.Answered)
 	}
 	for reported, names := range map[crashState][]string{unproven: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
 		for _, crash := range names {
@@ -330,6 +327,14 @@
 	return e.weight > weightBefore
 }
 
+// markPart marks an entry as that of a part. answered is whether another table knows a complete answer to a request with it.
+// markPart reports whether such an answer was not known here.
+func (t *Table) markPart(e *entry, answered bool) bool {
+	answeredBefore := e.answered
+	e.part, e.answered = true, answeredBefore || answered || t.answeredParts.has(e.fingerprint)
+	return e.answered != answeredBefore
+}
+
 // removeExpired removes the expired entries.
 func (t *Table) removeExpired(now time.Time) {
 	for fingerprint, e := range t.entries {
