--- a/router/route/hint_test.go
+++ b/router/route/hint_test.go
@@ -16,6 +16,29 @@
 	"gooseberrypin.example/router/vm"
 )
 
+// newHintStore returns a store with a configuration that serves models by one prefill engine and one decode engine, u1.
+func newHintStore(t *testing.T, models ...string) *configuration.Store {
+	c := &configuration.Configuration{
+		Revision: 1,
+		Upstreams: []configuration.Upstream{
+			{Name: "u0", Kind: configuration.KindEngine, Labels: label.Labels{"role": "prefill"}},
+			{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}},
+		},
+		Pools: []configuration.Pool{
+			{Name: "p", Role: configuration.RolePrefill, Selector: "role=prefill"},
+			{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"},
+		},
+	}
+	for _, model := range models {
+		c.Rules = append(c.Rules, configuration.Rule{Name: "rule-" + model, Model: model, PrefillPool: "p", DecodePool: "d"})
+	}
+	index, err := configuration.NewIndex(c)
+	is.New(t).NoErr(err)
+	store := configuration.NewStore()
+	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
+	return store
+}
+
 // TestExpiredHintsDoNotBlockUpstreams checks that a hint that blocks an upstream expires: without work, the
 // upstream would send no newer one.
 func TestExpiredHintsDoNotBlockUpstreams(t *testing.T) {
@@ -31,21 +54,7 @@
 		"full, fresh":            {load: full, age: 100 * time.Millisecond},
 		"full, expired":          {load: full, age: time.Second, want: true},
 	}
-	index, err := configuration.NewIndex(&configuration.Configuration{
-		Revision: 1,
-		Upstreams: []configuration.Upstream{
-			{Name: "u0", Kind: configuration.KindEngine, Labels: label.Labels{"role": "prefill"}},
-			{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}},
-		},
-		Pools: []configuration.Pool{
-			{Name: "p", Role: configuration.RolePrefill, Selector: "role=prefill"},
-			{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"},
-		},
-		Rules: []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}},
-	})
-	is.New(t).NoErr(err)
-	store := configuration.NewStore()
-	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
+	store := newHintStore(t, "m")
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -64,21 +73,7 @@
 
 // Each model's requests try an upstream again whose hint has expired, also while another model's requests do so all the time.
 func TestHintExpiresForEachModel(t *testing.T) {
-	index, err := configuration.NewIndex(&configuration.Configuration{
-		Revision: 1,
-		Upstreams: []configuration.Upstream{
-			{Name: "u0", Kind: configuration.KindEngine, Labels: label.Labels{"role": "prefill"}},
-			{Name: "u1", Kind: configuration.KindEngine, Labels: label.Labels{"role": "decode"}},
-		},
-		Pools: []configuration.Pool{
-			{Name: "p", Role: configuration.RolePrefill, Selector: "role=prefill"},
-			{Name: "d", Role: configuration.RoleDecode, Selector: "role=decode"},
-		},
-		Rules: []configuration.Rule{{Name: "r", Model: "m", PrefillPool: "p", DecodePool: "d"}, {Name: "s", Model: "n", PrefillPool: "p", DecodePool: "d"}},
-	})
-	is.New(t).NoErr(err)
-	store := configuration.NewStore()
-	store.Put(&configuration.Snapshot{Revision: 1, Index: index})
+	store := newHintStore(t, "m", "n")
 	synctest.Test(t, func(t *testing.T) {
 		r := route.NewRouter(route.Self{Name: "entry"}, store, vm.NewTable(), rand.New(rand.NewPCG(1, 1)))
 		assigned := func(model string) bool {
