upstream: an announcement counts for an incarnation that had just started

Its start was compared with a tolerance of a second, so the announcement counted for the earlier incarnation and was forgotten. Without the tolerance, 'had just started' of TestAnnouncementBelongsToTheIncarnationThatRan is green, red before. What is given up: if this clock is ahead of a server's by more than its downtime, a server that restarts under its ID after it had left gets nothing from this entry until its next incarnation.

--- a/router/upstream/departure.go
+++ b/router/upstream/departure.go
@@ -8,8 +8,6 @@
 	// RestoreGrace is how long after a restore of the source an incarnation that had left before is not used again. By
 	// then the source has removed what does not publish itself any more: three heartbeats of about 1.2 s.
 	RestoreGrace = 8 * time.Second
-	// startTolerance is how far the clocks of a server and of this process may differ when a start is compared.
-	startTolerance = time.Second
 	// departedRetention is how long an incarnation that has left is kept, in case it is published again: by an older copy of
 	// the source, or because its registration had lapsed.
 	departedRetention = 10 * time.Minute
@@ -32,7 +30,7 @@
 // announcementOf returns when the incarnation that is published now, under the same ID, announced that it leaves, or zero. A
 // server that restarts under its ID may announce it before its registration is known here.
 func (l departure) announcementOf(u Upstream) time.Time {
-	ranThen := u.Address == l.address && u.Started.Add(startTolerance).Before(l.leavingAt)
+	ranThen := u.Address == l.address && u.Started.Before(l.leavingAt)
 	if u.Started.IsZero() || !u.Started.Equal(l.started) && !ranThen {
 		return time.Time{}
 	}
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -305,6 +305,7 @@
 		want    int
 	}{
 		"ran when it was announced":           {now.Add(-3 * time.Second), false, 0},
+		"had just started":                    {now.Add(-100 * time.Millisecond), false, 0},
 		"started later":                       {now.Add(2 * time.Second), false, 1},
 		"ran, the earlier one was removed":    {now.Add(-3 * time.Second), true, 0},
 		"started later, after it was removed": {now.Add(2 * time.Second), true, 1},
