--- a/router/quarantine/attribution_test.go
+++ b/router/quarantine/attribution_test.go
@@ -147,3 +147,18 @@
 	verdict, _ := table.CheckRequest(partsOf(part), now)
 	return fmt.Sprintf("%T", verdict)
 }
+
+// A quarantined part is sent again after its term, and one further crash quarantines it at once, for longer.
+func TestQuarantineOfAPartEnds(t *testing.T) {
+	is := is.New(t)
+	const term = 10 * time.Minute
+	table, began := quarantine.NewTable(quarantine.WithTerm(term)), time.Now()
+	for n := range 3 {
+		apply(table, run{upstream: fmt.Sprintf("u%d", n), parts: "x", sentAt: 100 * n}, began)
+	}
+	is.Equal(verdictOf(table, "x", began.Add(term/2)), "quarantine.Quarantined")
+	later := began.Add(term + time.Minute)
+	is.Equal(verdictOf(table, "x", later), "quarantine.Free")
+	apply(table, run{upstream: "u3", parts: "x"}, later)
+	is.Equal(verdictOf(table, "x", later.Add(2*term)), "quarantine.Quarantined")
+}
