--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -180,22 +180,23 @@
 	return err == nil && idle
 }
 
-// abort closes the connection. Unread bytes make this a reset, so that the peer is notified at once.
+// abort resets the connection, as ResetOnClose was applied when it was opened. What the kernel still holds of a request is
+// discarded, and the peer is notified at once.
 func (k *conn) abort() {
 	// The only possible error is that the connection is closed already.
 	_ = k.Close()
 }
 
-// newDialer returns a function that opens connections. They fail if the peer does not acknowledge sent data
-// within ackTimeout.
+// newDialer returns a function that opens connections. They are reset when they are closed, and fail if the peer does not
+// acknowledge sent data within ackTimeout.
 func newDialer(timeout, ackTimeout time.Duration) func(context.Context, string) (*conn, error) {
 	d := &net.Dialer{
 		Timeout:   timeout,
 		KeepAlive: -1,
-		Control: func(_, _ string, c syscall.RawConn) error {
+		Control: func(network, address string, c syscall.RawConn) error {
 			var failed error
 			err := c.Control(func(fd uintptr) { failed = setAckTimeout(int(fd), ackTimeout) })
-			return errors.Join(err, failed)
+			return errors.Join(err, failed, ResetOnClose(network, address, c))
 		},
 	}
 	return func(ctx context.Context, address string) (*conn, error) {
@@ -209,6 +210,18 @@
 	}
 }
 
+// ResetOnClose is the Control function of a net.Dialer whose connections are reset when they are closed, also by the exit
+// of the process. After an orderly close the kernel would go on to deliver what is unacknowledged: a request then runs
+// after a partition, seconds after its caller was told that there is no answer. The option is set when the connection
+// is opened, as a killed process closes its connections without running any code.
+func ResetOnClose(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
+	})
+	return errors.Join(err, failed)
+}
+
 // setAckTimeout makes the kernel close a connection whose peer stops acknowledging sent data, or keep-alive
 // probes while nothing is sent.
 func setAckTimeout(fd int, timeout time.Duration) error {
