upstream: a pause and a limit outlive a lapse of the registration

Change: a departed incarnation keeps its history, which the same ID, address and start time gets back within departedRetention. The directory reports whether a termination is final; only a final one ends a limit.

--- a/router/upstream/departure.go
+++ b/router/upstream/departure.go
@@ -14,27 +14,62 @@
 )
 
 type (
-	// departure is an incarnation that has left. leavingAt is when it announced that; zero if it did not.
+	// departure is an incarnation that has left, or whose registration has lapsed.
 	departure struct {
 		address     string
 		started, at time.Time
-		leavingAt   time.Time
+		// history is the one that requests in progress still update.
+		history *History
+	}
+
+	// Termination reports that an incarnation was found to have terminated.
+	Termination struct {
+		Upstream
+		// Final is whether the incarnation can't return. Otherwise its registration may only have lapsed.
+		Final bool
 	}
 )
 
 // departure returns the member as one that leaves now.
 func (m *Member) departure() departure {
-	return departure{address: m.Address, started: m.Started, at: time.Now(), leavingAt: m.lastLeavingAt()}
+	return departure{address: m.Address, started: m.Started, at: time.Now(), history: m.History}
+}
+
+// historyOf returns the history of the incarnation that is published now, under the same ID. A registration that lapses and
+// returns names the incarnation that ran before, whose pause holds on. Another incarnation starts anew.
+func (l departure) historyOf(u Upstream) *History {
+	if l.history == nil {
+		return &History{}
+	}
+	if !u.Started.IsZero() && u.Started.Equal(l.started) && u.Address == l.address {
+		l.history.returned()
+		return l.history
+	}
+	return &History{leavingAt: l.announcementOf(u)}
 }
 
 // announcementOf returns when the incarnation that is published now, under the same ID, announced that it leaves, or zero. A
 // server that restarts under its ID may announce it before its registration is known here.
 func (l departure) announcementOf(u Upstream) time.Time {
-	ranThen := u.Address == l.address && u.Started.Before(l.leavingAt)
+	leavingAt := l.history.lastLeavingAt()
+	ranThen := u.Address == l.address && u.Started.Before(leavingAt)
 	if u.Started.IsZero() || !u.Started.Equal(l.started) && !ranThen {
 		return time.Time{}
 	}
-	return l.leavingAt
+	return leavingAt
+}
+
+// returned records that a lapsed registration has returned: the server publishes itself, so it was not replaced.
+func (h *History) returned() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replaced = false
+}
+
+// unpublished returns the termination of a member that is not published any more, or nothing if it was reported before.
+// Whether an incarnation without a start time returns can't be told.
+func (m *Member) unpublished() []Termination {
+	return m.newlyTerminated(m.Draining || m.isLeaving() || m.Started.IsZero())
 }
 
 // SourceRestored records that the source has returned from an older copy, which may lack upstreams and may hold some that
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -35,7 +35,7 @@
 		// departed holds, by ID, the incarnations that have left within departedRetention.
 		departed map[string]departure
 		// onTermination is called once for each incarnation that is found to have terminated.
-		onTermination func(Upstream)
+		onTermination func(Termination)
 	}
 
 	// Option configures a directory.
@@ -55,7 +55,7 @@
 		idsByAddress:  make(map[string][]string),
 		removalDue:    make(map[string]time.Time),
 		departed:      make(map[string]departure),
-		onTermination: func(Upstream) {},
+		onTermination: func(Termination) {},
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -66,7 +66,7 @@
 // WithTerminationHandler sets a function that is called for each incarnation that is found to have
 // terminated: it is no longer published, or a later incarnation is published under its ID or address. The
 // function runs without the directory's lock.
-func WithTerminationHandler(onTermination func(Upstream)) Option {
+func WithTerminationHandler(onTermination func(Termination)) Option {
 	return func(d *Directory) { d.onTermination = onTermination }
 }
 
@@ -82,8 +82,8 @@
 // replacePredecessors marks the earlier incarnations at a new member's address as replaced, and returns those
 // that were not marked before. If a later incarnation is already published at the address, the new member
 // itself is marked as replaced. The caller holds the lock.
-func (d *Directory) replacePredecessors(next *Member) []Upstream {
-	var terminated []Upstream
+func (d *Directory) replacePredecessors(next *Member) []Termination {
+	var terminated []Termination
 	for _, id := range d.idsByAddress[next.Address] {
 		m := d.members[id]
 		switch {
@@ -91,30 +91,30 @@
 		case m.Started.After(next.Started):
 			next.Replaced()
 		case m.Started.Before(next.Started):
-			terminated = append(terminated, m.newlyTerminated()...)
+			terminated = append(terminated, m.newlyTerminated(false)...)
 			m.Replaced()
 		}
 	}
 	return terminated
 }
 
-// newlyTerminated returns the incarnation, or nothing if it was already marked as replaced.
-func (m *Member) newlyTerminated() []Upstream {
+// newlyTerminated returns the termination of the incarnation, or nothing if it was already marked as replaced.
+func (m *Member) newlyTerminated(final bool) []Termination {
 	if m.isReplaced() {
 		return nil
 	}
-	return []Upstream{m.Upstream}
+	return []Termination{{Upstream: m.Upstream, Final: final}}
 }
 
-func (d *Directory) notifyTerminated(terminated []Upstream) {
-	for _, u := range terminated {
-		d.onTermination(u)
+func (d *Directory) notifyTerminated(terminated []Termination) {
+	for _, t := range terminated {
+		d.onTermination(t)
 	}
 }
 
 // put adds or updates an upstream as it was published. It reports whether the incarnation is new, and returns
 // the incarnations that it shows to have terminated. The caller holds the lock.
-func (d *Directory) put(u Upstream) (bool, []Upstream) {
+func (d *Directory) put(u Upstream) (bool, []Termination) {
 	old, found := d.members[u.ID]
 	last, known := d.departed[u.ID]
 	if found {
@@ -137,10 +137,10 @@
 	d.membersByRole = nil
 	switch {
 	case !found || old.Address != u.Address || old.Started != u.Started:
-		next := &Member{Upstream: u, History: &History{leavingAt: last.announcementOf(u)}}
+		next := &Member{Upstream: u, History: last.historyOf(u)}
 		terminated := d.replacePredecessors(next)
 		if found {
-			terminated = append(terminated, old.newlyTerminated()...)
+			terminated = append(terminated, old.newlyTerminated(!old.Started.Equal(u.Started))...)
 			d.removeFromAddress(old)
 		}
 		d.members[u.ID] = next
@@ -170,7 +170,7 @@
 	}
 	d.drop(id)
 	d.mu.Unlock()
-	d.notifyTerminated(m.newlyTerminated())
+	d.notifyTerminated(m.unpublished())
 	return true
 }
 
@@ -209,7 +209,7 @@
 // are not listed are scheduled for removal; otherwise they are removed at once.
 func (d *Directory) Replace(all []Upstream, now time.Time) {
 	d.mu.Lock()
-	var terminated []Upstream
+	var terminated []Termination
 	published := make(map[string]bool, len(all))
 	for _, u := range all {
 		published[u.ID] = true
@@ -223,7 +223,7 @@
 			d.scheduleRemoval(id, now)
 		default:
 			d.drop(id)
-			terminated = append(terminated, m.newlyTerminated()...)
+			terminated = append(terminated, m.unpublished()...)
 		}
 	}
 	d.mu.Unlock()
@@ -253,10 +253,10 @@
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
 	d.forgetDeparted(now)
-	var terminated []Upstream
+	var terminated []Termination
 	for id, due := range d.removalDue {
 		if !d.sourceUnavailable && !now.Before(due) {
-			terminated = append(terminated, d.members[id].newlyTerminated()...)
+			terminated = append(terminated, d.members[id].unpublished()...)
 			d.drop(id)
 		}
 	}
--- a/router/upstream/upstream_test.go
+++ b/router/upstream/upstream_test.go
@@ -187,7 +187,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var terminated, ready []string
-			d := upstream.NewDirectory(upstream.WithTerminationHandler(func(u upstream.Upstream) { terminated = append(terminated, u.ID) }))
+			d := upstream.NewDirectory(upstream.WithTerminationHandler(func(u upstream.Termination) { terminated = append(terminated, u.ID) }))
 			for _, u := range tt.puts {
 				d.Put(u)
 			}
