exchange: request targets are written byte for byte

Cause: for a target that begins with two slashes, requestURL set Path and RawPath to the same text, so net/http escaped it again unless nothing was escaped, and left out an empty query. Its own way for other texts, URL.Opaque, puts a scheme and a colon in front of "//". Change: all targets go through URL.Opaque, and exchange omits that colon while it writes the request line.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -84,10 +84,10 @@
 	k.writtenBytes.Store(0)
 	done := make(chan error, 1)
 	if r.ContentLength <= readBufferBytes/2 {
-		done <- r.Write(k)
+		done <- writeRequest(k, r)
 		return done
 	}
-	go func() { done <- r.Write(k) }()
+	go func() { done <- writeRequest(k, r) }()
 	return done
 }
 
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -56,7 +56,8 @@
 	// Request is an HTTP request to one address.
 	Request struct {
 		Address string
-		// HTTP is the request as it is written. Its body is held in memory and has a known length.
+		// HTTP is the request as it is written. It has a method. If URL.Opaque is set, it is the target, byte for byte, and
+		// URL.Scheme is empty. The body is held in memory and has a known length.
 		HTTP *http.Request
 		// Matches reports whether a response belongs to this request. If nil, any response does.
 		Matches func(*http.Response) bool
