eventstream: IDs may increase by more than one

Cause: a stream whose IDs increase by more than one was cut off after its first event, although IDs need only increase: the relay required each ID to be the last one plus one. Change: eventstream.Order places events by what can be known. Three equal increments make an answer's numbering regular, and a larger one is then a gap; an answer that continues another must go on with an increment that the stream has shown; without any, IDs count events or tokens (TokensPerEvent), or the event is held until the next increment shows whether one is missing before it. New: an event below the one before it that the caller does not have ends the stream; it was dropped before. No longer detected: a gap among the first four events of one answer.

--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -19,6 +19,7 @@
 
 var (
 	errEventGap           = eris.New("the stream skipped an event")
+	errEventOrder         = eris.New("the stream has an event out of order")
 	errCallerDisconnected = eris.New("the caller left")
 	errEngineStatus       = eris.New("the engine failed")
 	errNoNumberedEvents   = eris.New("the stream has no numbered events")
@@ -39,9 +40,9 @@
 		headSent      bool
 		// mediaType is that of the answer whose head was sent.
 		mediaType string
-		// lastID is the ID of the last event that the caller has, if hasLast is set.
-		lastID  int64
-		hasLast bool
+		// order places the numbered events. held are an open event and those without a number after it.
+		order *eventstream.Order
+		held  []eventstream.Event
 		// firstEventAt is when the first event was forwarded.
 		firstEventAt time.Time
 		// lastEventAt is when the last event was forwarded.
@@ -56,19 +57,24 @@
 )
 
 func newRelay(ar *activeRequest) relay {
-	r := relay{activeRequest: ar}
+	tokensPerEvent := 0
+	if engine := ar.pool.Engine; engine != nil {
+		tokensPerEvent = engine.TokensPerEvent
+	}
+	r := relay{activeRequest: ar, order: eventstream.NewOrder(tokensPerEvent)}
 	if id, err := strconv.ParseInt(ar.request.LastEventID, 10, 64); err == nil {
-		r.lastID, r.hasLast = id, true
+		r.order.ResumeAfter(id)
 	}
 	return r
 }
 
 // lastEventID returns the ID of the last event that the caller has, or the empty string if there is none.
 func (r *relay) lastEventID() string {
-	if !r.hasLast {
+	id, found := r.order.Last()
+	if !found {
 		return r.activeRequest.request.LastEventID
 	}
-	return strconv.FormatInt(r.lastID, 10)
+	return strconv.FormatInt(id, 10)
 }
 
 // relayAnswer forwards the answer of an engine to the caller. A truncated answer is resumed or refused. granted
@@ -120,7 +126,8 @@
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
-	r.awaitsNumber = r.headSent
+	r.awaitsNumber, r.held = r.headSent, nil
+	r.order.BeginAnswer()
 	switch {
 	case !r.headSent:
 		r.headSent, r.mediaType = true, mediaType
@@ -135,6 +142,8 @@
 		switch {
 		case errors.Is(err, io.EOF) && r.awaitsNumber:
 			return errNoNumberedEvents
+		case errors.Is(err, io.EOF) && r.order.IsOpen():
+			return eris.Wrap(errEventGap, "at the end of the stream")
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -156,7 +165,7 @@
 // isConnectionLoss reports whether an error of forward means that the connection to the engine was lost, rather
 // than that the engine sent an invalid stream.
 func isConnectionLoss(err error) bool {
-	for _, invalid := range []error{errEventGap, errNoNumberedEvents, errOtherMediaType, eventstream.ErrTooLong} {
+	for _, invalid := range []error{errEventGap, errEventOrder, errNoNumberedEvents, errOtherMediaType, eventstream.ErrTooLong} {
 		if errors.Is(err, invalid) {
 			return false
 		}
@@ -165,7 +174,8 @@
 }
 
 // forwardEvent forwards an event, unless the caller has it already or it precedes the first numbered event of a continued
-// stream. It returns an error if the event does not follow the last one, or if the caller has disconnected.
+// stream. An open event is held until the next one shows its place. It returns an error if the event does not follow the
+// last one, or if the caller has disconnected.
 func (r *relay) forwardEvent(ctx context.Context, e eventstream.Event) error {
 	r.unnumbered++
 	if r.unnumbered > maxUnnumbered {
@@ -177,14 +187,30 @@
 	if e.HasID {
 		r.unnumbered, r.awaitsNumber = 0, false
 		r.received++
-		switch {
-		case r.hasLast && e.ID <= r.lastID:
+		switch r.order.Accept(e.ID) {
+		case eventstream.Repeated:
 			return nil
-		case r.hasLast && e.ID != r.lastID+1:
-			return eris.Wrapf(errEventGap, "event %d after %d", e.ID, r.lastID)
+		case eventstream.AfterGap:
+			return eris.Wrapf(errEventGap, "event %d after %s", e.ID, r.lastEventID())
+		case eventstream.OutOfOrder:
+			return eris.Wrapf(errEventOrder, "event %d after %s", e.ID, r.lastEventID())
 		}
-		r.lastID, r.hasLast = e.ID, true
 	}
+	if r.order.IsOpen() {
+		r.held = append(r.held, e)
+		return nil
+	}
+	for _, h := range r.held {
+		if err := r.write(ctx, h); err != nil {
+			return err
+		}
+	}
+	r.held = nil
+	return r.write(ctx, e)
+}
+
+// write sends an event to the caller. It returns an error if the caller has disconnected.
+func (r *relay) write(ctx context.Context, e eventstream.Event) error {
 	now := time.Now()
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt, r.lastEventAt = now, now
