upstream: a server whose address another writer claims is used again

Cause: a registration with a server's address and a later start marked the server as replaced for good, whatever the server answered. Result, before: TestClaimedAddress red in 4 of 8 cases (still published later on, claimed before it was published, claimed again and again, claimed again after a lapse): no upstream is ready, want 1 After: all pass. TestClaimedServerIsReportedOnce passed before as well.

--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -79,33 +79,6 @@
 	return isNew
 }
 
-// replacePredecessors marks the earlier incarnations at a new member's address as replaced, and returns those
-// that were not marked before. If a later incarnation is already published at the address, the new member
-// itself is marked as replaced. The caller holds the lock.
-func (d *Directory) replacePredecessors(next *Member) []Termination {
-	var terminated []Termination
-	for _, id := range d.idsByAddress[next.Address] {
-		m := d.members[id]
-		switch {
-		case m.ID == next.ID, m.Started.IsZero(), next.Started.IsZero():
-		case m.Started.After(next.Started):
-			next.Replaced()
-		case m.Started.Before(next.Started):
-			terminated = append(terminated, m.newlyTerminated(false)...)
-			m.Replaced()
-		}
-	}
-	return terminated
-}
-
-// newlyTerminated returns the termination of the incarnation, or nothing if it was already marked as replaced.
-func (m *Member) newlyTerminated(final bool) []Termination {
-	if m.isReplaced() {
-		return nil
-	}
-	return []Termination{{Upstream: m.Upstream, Final: final}}
-}
-
 func (d *Directory) notifyTerminated(terminated []Termination) {
 	for _, t := range terminated {
 		d.onTermination(t)
@@ -273,7 +246,7 @@
 // Published returns the members of a pool and phase that are neither draining nor leaving nor replaced, ordered by ID.
 // Ejected members are included.
 func (d *Directory) Published(pool string, phase Phase) []*Member {
-	return filter(d.membersInRole(role{pool, phase}), func(m *Member) bool { return !m.isReplaced() && !m.isLeaving() })
+	return filter(d.membersInRole(role{pool, phase}), func(m *Member) bool { return !m.isReplaced(time.Now()) && !m.isLeaving() })
 }
 
 func filter(members []*Member, include func(*Member) bool) []*Member {
--- a/router/upstream/snapshot.go
+++ b/router/upstream/snapshot.go
@@ -43,5 +43,5 @@
 func (h *History) unavailableFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return max(h.pausedUntil.Sub(now), h.ejectedUntil.Sub(now))
+	return max(h.pausedUntil.Sub(now), h.ejectedUntil.Sub(now), h.claimedUntil.Sub(now))
 }
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -71,7 +71,10 @@
 		pausedUntil  time.Time
 		ejectedUntil time.Time
 		latency      time.Duration
-		replaced     bool
+		// replaced is whether another incarnation answered at the address.
+		replaced bool
+		// claimedUntil is the end of claimTime after a later start was first published at the address; zero if none was.
+		claimedUntil time.Time
 		// backoffUntil is the end of the time for which the upstream has asked for no requests.
 		backoffUntil time.Time
 		// leavingAt is when the upstream announced last that it leaves; zero if it has not.
@@ -252,16 +255,16 @@
 	return h.ejections > 0 && now.Before(h.ejectedUntil)
 }
 
-// isReplaced reports whether another incarnation answers at the address.
-func (h *History) isReplaced() bool {
+// isReplaced reports whether another incarnation answers at the address, or is taken to because it is published there.
+func (h *History) isReplaced(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.replaced
+	return h.replaced || now.Before(h.claimedUntil)
 }
 
 // usable reports whether the member may get new requests.
 func (h *History) usable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.replaced && h.leavingAt.IsZero() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
+	return !h.replaced && !now.Before(h.claimedUntil) && h.leavingAt.IsZero() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
 }
