Quota: divide the quotas of customers among the entries

Change: one entry, the allocator, divides each quota among the entries that report to it. Entries hold amounts that follow their demand, give back what they have beyond it and ask early when a request does not fit. What a silent entry held counts as spent, so the sum stays within the bound after kills, restarts, lost messages and partitions.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -69,4 +69,13 @@
 	UpstreamBackoff = Event{Number: 6033, Text: "upstream asks for no requests"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
+	// CustomerAllocatorLost is logged when the entry that divides the quotas of customers has not answered for some
+	// intervals. This entry uses its own parts.
+	CustomerAllocatorLost = Event{Number: 6060, Text: "quota allocator unreachable"}
+	// CustomerAllocatorFound is logged when an entry divides the quotas of customers again, or for the first time.
+	CustomerAllocatorFound = Event{Number: 6061, Text: "quota allocator reachable"}
+	// CustomerReportFailed is logged when an entry did not answer as the allocator, so that the next one is asked.
+	CustomerReportFailed = Event{Number: 6062, Text: "quota report not answered"}
+	// CustomerQuotaChanged is logged when the configuration changes the quota of a customer.
+	CustomerQuotaChanged = Event{Number: 6063, Text: "customer quota changed"}
 )
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -280,6 +280,16 @@
 // the same live members choose the same owner. An entry that leaves owns nothing, nor does one that has seeds and has
 // not reached any other entry. Owner returns the empty string if there is no owner.
 func (g *Group) Owner(name string) string {
+	return rendezvous.Winner(name, g.ownerCandidates())
+}
+
+// Owners returns the owner of a name, followed by the entries that would own it next, at most n.
+func (g *Group) Owners(name string, n int) []string {
+	return rendezvous.Rank(name, g.ownerCandidates(), n)
+}
+
+// ownerCandidates returns the addresses of the entries that may own a name.
+func (g *Group) ownerCandidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	timeout, now := g.scaledHeartbeatTimeout(), time.Now()
@@ -292,7 +302,7 @@
 			candidates = append(candidates, r.Address)
 		}
 	}
-	return rendezvous.Winner(name, candidates)
+	return candidates
 }
 
 // scaledHeartbeatTimeout returns heartbeatTimeout, extended for fleets in which an exchange carries only a
--- a/router/quota/fleet_test.go
+++ b/router/quota/fleet_test.go
@@ -43,18 +43,26 @@
 		asked    int
 		// perSecond is the limit that the upstream states; 0 stands for none.
 		perSecond float64
+		// quotas are the quotas of customers, within bounds.
+		quotas quota.CustomerLimits
+		bounds quota.CustomerBounds
+		grants []customerGrant
 	}
 
 	entry struct {
-		fleet   *fleet
-		index   int
-		address string
-		stop    context.CancelFunc
-		group   *membership.Group
-		table   *quota.Table
-		limiter *quota.Limiter
-		frozen  bool
-		down    bool
+		fleet     *fleet
+		index     int
+		address   string
+		stop      context.CancelFunc
+		group     *membership.Group
+		table     *quota.Table
+		limiter   *quota.Limiter
+		allocator *quota.Allocator
+		customers *quota.Customers
+		frozen    bool
+		down      bool
+		// reports counts the reports that this entry sent, and answered those that it answered.
+		reports, answered int
 	}
 
 	arrival struct {
@@ -75,9 +83,12 @@
 	e.group = membership.NewGroup(e.address, seeds, e, event.Discard(), membership.WithAssumedEntries(25), membership.WithDelegate(e))
 	e.table = quota.NewTable(event.Discard())
 	e.limiter = quota.NewLimiter(e.address, e.table, e.group, e)
+	e.allocator = quota.NewAllocator(e.group, f.customerLimits, f.bounds)
+	e.customers = quota.NewCustomers(e.address, e.group, e, e.allocator, f.customerLimits)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.down = cancel, false
 	go e.group.Run(ctx)
+	go e.customers.Run(ctx)
 }
 
 // kill ends the process of an entry.
--- a/router/quota/ledger.go
+++ b/router/quota/ledger.go
@@ -41,14 +41,20 @@
 		bucket
 		// takeoverEnd is the end of takeoverTime, or the zero time.
 		takeoverEnd time.Time
-		// lastRetry is when the last of the entries that got no request may ask again.
-		lastRetry time.Time
+		// retries are for the entries that got no request.
+		retries retryTimes
 	}
 
-	// bucket is a token bucket of requests. The zero value is empty.
+	// bucket is a token bucket of requests, or of another unit. The zero value is empty.
 	bucket struct {
-		requests float64
-		updated  time.Time
+		level   float64
+		updated time.Time
+	}
+
+	// retryTimes spreads the times at which those who got nothing ask again.
+	retryTimes struct {
+		// last is when the last of them may ask.
+		last time.Time
 	}
 )
 
@@ -59,21 +65,21 @@
 // refill adds the requests of the time since the last call, up to a capacity.
 func (b *bucket) refill(perSecond, capacity float64, now time.Time) {
 	if elapsed := now.Sub(b.updated); !b.updated.IsZero() && elapsed > 0 {
-		b.requests = min(capacity, b.requests+perSecond*elapsed.Seconds())
+		b.level = min(capacity, b.level+perSecond*elapsed.Seconds())
 	}
 	b.updated = now
 }
 
 // take takes up to a number of whole requests and returns how many.
 func (b *bucket) take(requests int) int {
-	taken := min(float64(requests), math.Floor(b.requests))
-	b.requests -= taken
+	taken := min(float64(requests), math.Floor(b.level))
+	b.level -= taken
 	return int(taken)
 }
 
-// untilNext returns the time until the bucket has a whole request.
-func (b *bucket) untilNext(perSecond float64) time.Duration {
-	return seconds(max(0, 1-b.requests) / perSecond)
+// until returns the time until the bucket has an amount.
+func (b *bucket) until(amount, perSecond float64) time.Duration {
+	return seconds(max(0, amount-b.level) / perSecond)
 }
 
 // grant grants up to a number of requests to an upstream at a rate, which is the limit or a part of it. If it grants
@@ -98,15 +104,16 @@
 	if granted := a.take(max(1, requests)); granted > 0 {
 		return granted, 0
 	}
-	return 0, a.nextRetry(perSecond, now)
+	return 0, a.retries.next(a.until(1, perSecond), 1, perSecond, now)
 }
 
-// nextRetry returns when an entry that got no request should ask again. The entries that wait ask one after the other,
-// together askFactor times as often as requests become available, as some have none to send by then.
-func (a *account) nextRetry(perSecond float64, now time.Time) time.Duration {
-	retryAfter := max(minRetryAfter, a.untilNext(perSecond), a.lastRetry.Add(seconds(1/(askFactor*perSecond))).Sub(now))
+// next returns when one that got nothing should ask again for an amount that is available after a time. Those who wait
+// ask one after the other, together askFactor times as often as amounts become available, as some have nothing to send by
+// then.
+func (r *retryTimes) next(available time.Duration, amount, perSecond float64, now time.Time) time.Duration {
+	retryAfter := max(minRetryAfter, available, r.last.Add(seconds(amount/(askFactor*perSecond))).Sub(now))
 	retryAfter = min(retryAfter, maxRetryAfter)
-	a.lastRetry = now.Add(retryAfter)
+	r.last = now.Add(retryAfter)
 	return retryAfter
 }
 
@@ -123,6 +130,8 @@
 	}
 }
 
+// seconds returns a duration of a number of seconds, a day at most.
 func seconds(s float64) time.Duration {
-	return time.Duration(math.Ceil(s * float64(time.Second)))
+	const day = 24 * 60 * 60
+	return time.Duration(math.Ceil(min(s, day) * float64(time.Second)))
 }
--- a/router/quota/limiter.go
+++ b/router/quota/limiter.go
@@ -325,7 +325,7 @@
 		if !q.ownerLost {
 			l.log.Error(err, event.QuotaOwnerLost, "upstream", limit.Upstream, "per_second", limit.PerSecond, "entries", l.members.Divisor())
 			// The shares of all entries would otherwise have their first request at the same time.
-			q.share = bucket{requests: l.random.Float64(), updated: now}
+			q.share = bucket{level: l.random.Float64(), updated: now}
 		}
 		q.ownerLost, q.ownerPauseEnd = true, now.Add(ownerPause)
 		return l.takeShare(q, limit, now)
@@ -353,5 +353,5 @@
 		return Allowed{}
 	}
 	l.observe(ShareRefused)
-	return Denied{RetryAfter: q.share.untilNext(perSecond)}
+	return Denied{RetryAfter: q.share.until(1, perSecond)}
 }
