Ingress: types of customers and their keys

The configuration will name customers, their keys, priorities and quotas. Nothing decodes customers yet, so behaviour is unchanged.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -80,7 +80,7 @@
 	if credential == "" {
 		return nil, nil, refusal.New(refusal.RanNo, refusal.UnknownPartner, 0, "no credential: send the header Authorization: Bearer CREDENTIAL")
 	}
-	p := s.Index.PartnerByCredential(access.Digest(credential))
+	p := s.Index.PartnerByCredential(access.NewDigest(credential).String())
 	if p == nil {
 		return nil, nil, refusal.New(refusal.RanNo, refusal.UnknownPartner, 0, "the credential is not known")
 	}
--- a/gooseberryctl/gooseberryctl_test.go
+++ b/gooseberryctl/gooseberryctl_test.go
@@ -55,7 +55,7 @@
 
 // write writes the edited configuration of a deployment to a file and returns the file's name.
 func write(t *testing.T, edit func(*configuration.Configuration)) string {
-	c := gooseberryctl.Deployment("varal", access.Digest("x"))
+	c := gooseberryctl.Deployment("varal", access.NewDigest("x").String())
 	edit(c)
 	content, err := json.Marshal(c)
 	if err != nil {
@@ -90,7 +90,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) })
 	mux.HandleFunc("GET /v1/manifest", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintf(w, `{"revision":%d,"parts":[{"name":"a","sha256":"%s","bytes":1}]}`, revision, access.Digest("a"))
+		fmt.Fprintf(w, `{"revision":%d,"parts":[{"name":"a","sha256":"%s","bytes":1}]}`, revision, access.NewDigest("a").String())
 	})
 	return address(t, mux)
 }
@@ -106,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			file := filepath.Join(t.TempDir(), "start.json")
-			code, _, errs := run("init", "--deployment", name, "--credential", access.Digest("x"), "-o", file)
+			code, _, errs := run("init", "--deployment", name, "--credential", access.NewDigest("x").String(), "-o", file)
 			is.Equal(errs, "")
 			is.Equal(code, gooseberryctl.ExitOK)
 			code, _, _ = run("check", file)
--- a/router/access/access.go
+++ b/router/access/access.go
@@ -16,10 +16,13 @@
 )
 
 type (
+	// Digest is the SHA-256 digest of a credential. Credentials are stored and compared in this form.
+	Digest [sha256.Size]byte
+
 	// Keys are the keys of the system's own processes, or of the operators. They are never printed.
 	Keys struct {
 		// digests are the SHA-256 digests of the accepted keys.
-		digests [][sha256.Size]byte
+		digests []Digest
 		// outgoing is the key that is sent, or the empty string.
 		outgoing string
 	}
@@ -34,7 +37,7 @@
 func NewKeys(keys ...string) Keys {
 	k := Keys{}
 	for _, key := range keys {
-		k.digests = append(k.digests, sha256.Sum256([]byte(key)))
+		k.digests = append(k.digests, NewDigest(key))
 	}
 	if len(keys) > 0 {
 		k.outgoing = keys[0]
@@ -49,7 +52,7 @@
 
 // Accepts reports whether key is one of the keys. It compares in constant time.
 func (k Keys) Accepts(key string) bool {
-	digest := sha256.Sum256([]byte(key))
+	digest := NewDigest(key)
 	accepted := 0
 	for i := range k.digests {
 		accepted |= subtle.ConstantTimeCompare(digest[:], k.digests[i][:])
@@ -90,8 +93,12 @@
 	return credential
 }
 
-// Digest returns the SHA-256 digest of a credential in hexadecimal, the form that the configuration contains.
-func Digest(credential string) string {
-	sum := sha256.Sum256([]byte(credential))
-	return hex.EncodeToString(sum[:])
+// NewDigest returns the digest of a credential.
+func NewDigest(credential string) Digest {
+	return sha256.Sum256([]byte(credential))
+}
+
+// String returns the digest in hexadecimal, the form that the configuration of partners contains.
+func (d Digest) String() string {
+	return hex.EncodeToString(d[:])
 }
--- a/router/configuration/bench_test.go
+++ b/router/configuration/bench_test.go
@@ -45,7 +45,7 @@
 	}
 	for n := range targetPartners {
 		c.Partners = append(c.Partners, configuration.Partner{
-			Name: fmt.Sprintf("partner-%d", n), CredentialSHA256: []string{access.Digest(fmt.Sprint(n))},
+			Name: fmt.Sprintf("partner-%d", n), CredentialSHA256: []string{access.NewDigest(fmt.Sprint(n)).String()},
 		})
 	}
 	return c
--- a/router/configuration/configuration_test.go
+++ b/router/configuration/configuration_test.go
@@ -40,7 +40,7 @@
 			{Name: "booking", Service: "booking", ServicePool: "booking"},
 		},
 		Partners: []configuration.Partner{
-			{Name: "line", CredentialSHA256: []string{access.Digest("line")}, Rules: []string{"care"}},
+			{Name: "line", CredentialSHA256: []string{access.NewDigest("line").String()}, Rules: []string{"care"}},
 		},
 		Limits: configuration.Limits{KeyHorizonSeconds: 600, ClockSkewMS: 2000},
 	}
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -27,6 +27,8 @@
 		// contents identify the content of the request for the quarantine of content that crashes
 		// upstreams.
 		contents []quarantine.Content
+		// customer is nil if no customers are in force, or on a public route without a known key.
+		customer *ingress.Customer
 	}
 )
 
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -19,6 +19,8 @@
 		Request *Request
 		// Route is nil if no route matches the request.
 		Route *ingress.Route
+		// Customer is the name of the customer; empty if there is none.
+		Customer string
 		// Version is the version of the configuration that contains the route.
 		Version int64
 		Pool    string
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"gooseberrypin.example/router/access"
 	"gooseberrypin.example/router/ingress"
 )
 
@@ -33,6 +34,9 @@
 		// LastEventID is the ID of the last event that the caller received of an earlier, truncated answer; empty
 		// if there is none.
 		LastEventID string
+		// KeyDigest is the digest of the customer's key, if HasKey is true.
+		KeyDigest access.Digest
+		HasKey    bool
 	}
 
 	// Generation describes a request to a model, as its caller stated it.
--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -51,6 +51,15 @@
 		// HeadTimeout bounds the time until the head of the answer. Zero sets no bound beyond the deadline of
 		// the caller.
 		HeadTimeout time.Duration
+		Identity    Identity
+	}
+
+	// Identity is what an upstream is told of the customer of a request.
+	Identity struct {
+		// InForce reports whether customers are in force. If not, the caller's own statements are passed on.
+		InForce bool
+		// Customer is the name of the customer; empty if there is none.
+		Customer string
 	}
 
 	// DecodeOptions are the options of a decode request.
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -53,6 +53,8 @@
 		Shares   []Share
 		// MaxAttempts is the maximum number of upstreams to which one request is sent.
 		MaxAttempts int
+		// Public routes need no customer's key.
+		Public bool
 	}
 
 	// EngineLimits describes the model engines of a pool.
@@ -89,6 +91,8 @@
 		Routes  []Route
 		Pools   map[string]Pool
 		Limits  Limits
+		// Customers are those whose keys are accepted. Without any, requests need no key.
+		Customers []Customer
 	}
 )
 
--- a/router/ingress/table.go
+++ b/router/ingress/table.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gooseberrypin.example/router/access"
 )
 
 type (
@@ -18,6 +20,8 @@
 		InForceSince time.Time
 		// byHost contains the routes of each host in lower case, the longest prefix first.
 		byHost map[string][]*Route
+		// byKey contains the customer of each key.
+		byKey map[access.Digest]*Customer
 	}
 
 	// Store holds the newest configuration. Its version only increases. The zero value is an empty store. A
@@ -39,9 +43,25 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.byKey = make(map[access.Digest]*Customer)
+	for i := range c.Customers {
+		for _, key := range c.Customers[i].Keys {
+			t.byKey[key] = &c.Customers[i]
+		}
+	}
 	return t
 }
 
+// HasCustomers reports whether customers are in force, so that routes that are not public need a customer's key.
+func (t *Table) HasCustomers() bool {
+	return len(t.Configuration.Customers) > 0
+}
+
+// Customer returns the customer of a key, or nil if the key is unknown.
+func (t *Table) Customer(key access.Digest) *Customer {
+	return t.byKey[key]
+}
+
 // Match returns the route of the host with the longest matching prefix of the path, or nil. A port in host is
 // ignored, and so is its case.
 func (t *Table) Match(host, path string) *Route {
--- a/router/refusal/refusal.go
+++ b/router/refusal/refusal.go
@@ -68,6 +68,10 @@
 	WrongRole Reason = 26
 	// KeeperLost means that the entry that kept the request crashed or can't be reached.
 	KeeperLost Reason = 27
+	// Unauthenticated means that a customer's key is missing or unknown.
+	Unauthenticated Reason = 28
+	// QuotaExceeded means that the customer's quota is used up.
+	QuotaExceeded Reason = 29
 )
 
 type (
--- a/router/refusal/text.go
+++ b/router/refusal/text.go
@@ -31,6 +31,8 @@
 		KVLost:          "kv_lost",
 		WrongRole:       "wrong_role",
 		KeeperLost:      "keeper_lost",
+		Unauthenticated: "unauthenticated",
+		QuotaExceeded:   "quota_exceeded",
 	}
 
 	ranTexts = map[Ran]string{RanNo: "no", RanUnknown: "unknown", RanYes: "yes"}
--- a/scenario/capacity/state.go
+++ b/scenario/capacity/state.go
@@ -184,7 +184,7 @@
 		name := fmt.Sprintf("partner-%d", i)
 		c.Partners = append(c.Partners, configuration.Partner{
 			Name:             name,
-			CredentialSHA256: []string{access.Digest(name)},
+			CredentialSHA256: []string{access.NewDigest(name).String()},
 			Weight:           1,
 		})
 	}
--- a/scenario/fleet/layout.go
+++ b/scenario/fleet/layout.go
@@ -150,7 +150,7 @@
 	for _, partner := range []string{"varal", "kalamaki"} {
 		c.Partners = append(c.Partners, configuration.Partner{
 			Name:             partner,
-			CredentialSHA256: []string{access.Digest(Credential(partner))},
+			CredentialSHA256: []string{access.NewDigest(Credential(partner)).String()},
 		})
 	}
 	for _, n := range nodes {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -111,7 +111,7 @@
 			{Name: "decode", Role: configuration.RoleDecode, Selector: "role=decode"},
 		},
 		Rules:    []configuration.Rule{{Name: model, Model: model, PrefillPool: "prefill", DecodePool: "decode", MaxOutputTokens: 500}},
-		Partners: []configuration.Partner{{Name: "varal", CredentialSHA256: []string{access.Digest("x")}}},
+		Partners: []configuration.Partner{{Name: "varal", CredentialSHA256: []string{access.NewDigest("x").String()}}},
 		// A long target time to first token avoids load shedding on a slow machine.
 		Limits: configuration.Limits{FirstTokenMS: 10_000},
 	}
