Ingress: check customers and order requests by them

A customer's priority takes precedence over the route's, so the table ranks the pairs that a configuration has, and maps ranks to the ten priorities of engines. Check refuses a key of two customers, an empty or repeated name, a name that can't stand in a header field, and negative quotas; it names customers and never keys. Without customers the rank is the priority of the route as before.

--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -123,7 +123,7 @@
 			}
 		}
 	}
-	return nil
+	return checkCustomers(c.Customers)
 }
 
 func (r *Route) check() error {
--- a/router/ingress/customer.go
+++ b/router/ingress/customer.go
@@ -1,6 +1,11 @@
 package ingress
 
 import (
+	"strings"
+	"unicode"
+
+	"github.com/rotisserie/eris"
+
 	"gooseberrypin.example/router/access"
 )
 
@@ -47,3 +52,44 @@
 	}
 	return "unknown"
 }
+
+// checkCustomers returns an error for the first fault in a list of customers, or nil. It names customers and never their
+// keys.
+func checkCustomers(customers []Customer) error {
+	names, owners := make(map[string]bool), make(map[access.Digest]string)
+	for n, c := range customers {
+		if c.Name == "" {
+			return eris.Errorf("customer %d of %d has no name", n+1, len(customers))
+		}
+		if names[c.Name] {
+			return eris.Errorf("customer %q is declared twice", c.Name)
+		}
+		names[c.Name] = true
+		if err := c.check(); err != nil {
+			return eris.Wrapf(err, "customer %q", c.Name)
+		}
+		for _, key := range c.Keys {
+			if owner, found := owners[key]; found && owner != c.Name {
+				return eris.Errorf("customers %q and %q have the same key", owner, c.Name)
+			}
+			owners[key] = c.Name
+		}
+	}
+	return nil
+}
+
+func (c *Customer) check() error {
+	q := c.Quota
+	switch {
+	case strings.TrimSpace(c.Name) != c.Name || strings.ContainsFunc(c.Name, unicode.IsControl):
+		// The name is sent in a header field.
+		return eris.New("the name begins or ends with a space or has control characters")
+	case q.PerSecond < 0:
+		return eris.Errorf("rate %v is negative", q.PerSecond)
+	case q.Burst < 0:
+		return eris.Errorf("burst %v is negative", q.Burst)
+	case q.PlainTokens < 0:
+		return eris.Errorf("%d tokens of a request without a token count are negative", q.PlainTokens)
+	}
+	return nil
+}
--- a/router/ingress/table.go
+++ b/router/ingress/table.go
@@ -21,7 +21,8 @@
 		// byHost contains the routes of each host in lower case, the longest prefix first.
 		byHost map[string][]*Route
 		// byKey contains the customer of each key.
-		byKey map[access.Digest]*Customer
+		byKey      map[access.Digest]*Customer
+		priorities priorities
 	}
 
 	// Store holds the newest configuration. Its version only increases. The zero value is an empty store. A
@@ -34,7 +35,7 @@
 
 // NewTable returns the table of a configuration that passed Check. It is in force from now on.
 func NewTable(c *Configuration) *Table {
-	t := &Table{Configuration: c, InForceSince: time.Now(), byHost: make(map[string][]*Route)}
+	t := &Table{Configuration: c, InForceSince: time.Now(), byHost: make(map[string][]*Route), byKey: make(map[access.Digest]*Customer), priorities: newPriorities(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -43,7 +44,6 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	t.byKey = make(map[access.Digest]*Customer)
 	for i := range c.Customers {
 		for _, key := range c.Customers[i].Keys {
 			t.byKey[key] = &c.Customers[i]
