Gateway: authenticate customers by their keys

With customers in the configuration, a request needs a known key unless its route is public, and upstreams are told the customer's name. A request is judged by a single table, which is still in force after the verdict on the keys' age. While keys aren't trusted, requests with a key or of routes that aren't public are refused with KeysOutdated and a retry delay. Priorities follow the table's order in the queue and at engines. Without customers nothing changes.

--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -17,8 +17,10 @@
 type (
 	// activeRequest is a request that is being served.
 	activeRequest struct {
-		gateway   *Gateway
-		request   *Request
+		gateway *Gateway
+		request *Request
+		// table is the table by which the request was admitted.
+		table     *ingress.Table
 		route     *ingress.Route
 		pool      ingress.Pool
 		poolState *poolState
@@ -38,7 +40,7 @@
 }
 
 func (ar *activeRequest) sendOptions() SendOptions {
-	return SendOptions{Remaining: ar.remaining(), Priority: ar.route.Priority}
+	return SendOptions{Remaining: ar.remaining(), Priority: ar.table.EnginePriority(ar.rank()), Identity: ar.identity()}
 }
 
 // contextRefusal returns the refusal of a request whose context is done: its deadline passed, or its caller
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -77,6 +77,9 @@
 		freed []string
 		// remaining holds the remaining times that calls carried.
 		remaining []time.Duration
+		// identities and priorities hold those that calls, prefills and decodes carried.
+		identities []gateway.Identity
+		priorities []int
 	}
 
 	// streamBody is a stream that sends the events of a step.
@@ -176,7 +179,14 @@
 
 func (releasableReader) Release() {}
 
+func (f *fakeUpstreams) recordOptions(o gateway.SendOptions) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.identities, f.priorities = append(f.identities, o.Identity), append(f.priorities, o.Priority)
+}
+
 func (f *fakeUpstreams) Call(ctx context.Context, m *upstream.Member, _ *gateway.Request, o gateway.SendOptions) gateway.Result {
+	f.recordOptions(o)
 	f.mu.Lock()
 	f.remaining = append(f.remaining, o.Remaining)
 	crashed := f.crashAfterFirst && f.down[m.ID] && slices.Contains(f.sent, m.ID)
@@ -188,6 +198,7 @@
 }
 
 func (f *fakeUpstreams) Decode(ctx context.Context, m *upstream.Member, _ *gateway.Request, o gateway.DecodeOptions) gateway.Result {
+	f.recordOptions(o.SendOptions)
 	f.mu.Lock()
 	f.lastEventIDs = append(f.lastEventIDs, o.LastEventID)
 	f.mu.Unlock()
@@ -201,6 +212,7 @@
 }
 
 func (f *fakeUpstreams) Prefill(ctx context.Context, m *upstream.Member, _ *gateway.Request, o gateway.SendOptions) gateway.PrefillResult {
+	f.recordOptions(o)
 	if f.unresponsive == m.ID {
 		ctx, cancel := context.WithTimeout(ctx, o.HeadTimeout)
 		defer cancel()
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
+	"gooseberrypin.example/router/revocation"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -56,6 +57,7 @@
 		notifySuspects func()
 		answerMemory   byteBudget
 		quota          Quota
+		checkKeys      KeyCheck
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -99,6 +101,7 @@
 		notifySuspects: func() {},
 		answerMemory:   byteBudget{limit: defaultAnswerBytes},
 		quota:          unlimited{},
+		checkKeys:      func() revocation.Verdict { return revocation.Trusted{} },
 		random:         rand.New(rand.NewPCG(1, 1)),
 		pools:          make(map[string]*poolState),
 	}
@@ -194,7 +197,7 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, r *Request, reply Reply, record *Record) *refusal.Refusal {
-	table := g.rules.Current()
+	table, verdict := g.admissionTable()
 	if table == nil {
 		return refusal.New(refusal.RanNo, refusal.NoConfiguration, noConfigurationRetryAfter, "no configuration yet")
 	}
@@ -204,12 +207,19 @@
 		return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "no route for %s%s", r.Host, r.Path)
 	}
 	record.Route = route
+	customer, refused := g.authenticate(r, table, route, verdict)
+	if refused != nil {
+		return refused
+	}
+	if customer != nil {
+		record.Customer = customer.Name
+	}
 	g.mu.Lock()
 	record.Pool = route.Pick(g.random)
 	g.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline(route))
 	defer cancel()
-	w := &activeRequest{gateway: g, request: r, route: route, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
+	w := &activeRequest{gateway: g, request: r, table: table, route: route, customer: customer, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.poolState = g.poolState(w.pool)
 	w.poolState.retryBudget.RecordFirstTry()
 	w.contents = r.contents()
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -274,7 +274,7 @@
 // completeWaiter sets the tokens and the priority of a waiter, and limits its wait to the deadline of the
 // caller.
 func (n *generation) completeWaiter(w reservation.Waiter) reservation.Waiter {
-	w.Tokens, w.Priority = n.record.Tokens, n.route.Priority
+	w.Tokens, w.Priority = n.record.Tokens, n.rank()
 	if end := n.request.deadline(n.route); w.Expires.After(end) {
 		w.Expires = end
 	}
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -102,6 +102,9 @@
 		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumptions, "spent_ms", r.SinceFirstTry.Milliseconds(),
 		"waited_ms", r.MemoryWait.Milliseconds(), "prefill_ms", r.PrefillTime.Milliseconds(), "first_ms", r.TimeToFirstByte.Milliseconds(), "took_ms", r.Took.Milliseconds(),
 	}
+	if r.Customer != "" {
+		fields = append(fields, "customer", r.Customer)
+	}
 	if len(r.Limited) > 0 {
 		fields = append(fields, "limited", r.Limited)
 	}
@@ -112,6 +115,9 @@
 		g.log.Info(event.RequestServed, fields...)
 		return
 	}
+	if r.Request.HasKey && (r.Refusal.Reason == refusal.Unauthenticated || r.Refusal.Reason == refusal.KeysOutdated) {
+		fields = append(fields, "key_digest", r.Request.KeyDigest.String()[:2*loggedDigestBytes])
+	}
 	fields = append(fields, "reason", r.Refusal.Reason.String(), "ran", r.Refusal.Ran.String(),
 		"retry_after_ms", r.Refusal.RetryAfter.Milliseconds(), "why", r.Refusal.Message)
 	g.log.Warn(event.RequestRefused, fields...)
--- a/router/gateway/refused.go
+++ b/router/gateway/refused.go
@@ -32,7 +32,7 @@
 	}
 )
 
-// fingerprint returns a digest that is the same for all attempts of one request. Two requests with the same
+// fingerprint returns a digest that is the same for all attempts of one request of a customer. Two requests with the same
 // content share a fingerprint. This only affects the position of the second one in the queue for decode
 // memory.
 func (r *Request) fingerprint() uint64 {
@@ -40,7 +40,7 @@
 	if r.Generation != nil {
 		prompt = r.Generation.Content
 	}
-	return digest(r.Body, r.Host, r.Target, r.Header.Get("Authorization"), prompt)
+	return digest(r.Body, r.Host, r.Target, r.Header.Get("Authorization"), string(r.KeyDigest[:]), prompt)
 }
 
 // digest returns a hash of the body and the parts. It is not cryptographic.
--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -46,7 +46,7 @@
 	SendOptions struct {
 		// Remaining is the time until the deadline of the caller. The upstream stops work after it.
 		Remaining time.Duration
-		// Priority ranks requests at an engine; 0 is the most urgent.
+		// Priority ranks requests at an engine from 0, the most urgent, to 9.
 		Priority int
 		// HeadTimeout bounds the time until the head of the answer. Zero sets no bound beyond the deadline of
 		// the caller.
--- a/router/refusal/refusal.go
+++ b/router/refusal/refusal.go
@@ -72,6 +72,8 @@
 	Unauthenticated Reason = 28
 	// QuotaExceeded means that the customer's quota is used up.
 	QuotaExceeded Reason = 29
+	// KeysOutdated means that the entry does not know which keys of customers have been revoked or added lately.
+	KeysOutdated Reason = 30
 )
 
 type (
--- a/router/refusal/text.go
+++ b/router/refusal/text.go
@@ -33,6 +33,7 @@
 		KeeperLost:      "keeper_lost",
 		Unauthenticated: "unauthenticated",
 		QuotaExceeded:   "quota_exceeded",
+		KeysOutdated:    "keys_outdated",
 	}
 
 	ranTexts = map[Ran]string{RanNo: "no", RanUnknown: "unknown", RanYes: "yes"}
