Metrics: count requests by customer, and the age of keys

Operators need to see what each customer sends and what is refused. The first 64 names are label values, and the rest are counted as other. A gauge tells the age of the knowledge of keys.

--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -11,13 +11,16 @@
 
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/quota"
+	"gooseberrypin.example/router/refusal"
 )
 
 const (
 	// maxRoutes is the number of routes that have their own label value.
 	maxRoutes = 200
-	// otherRoute is the label value of all further routes.
-	otherRoute = "other"
+	// maxCustomers is the number of customers that have their own label value.
+	maxCustomers = 64
+	// otherLabel is the label value of all further routes and customers.
+	otherLabel = "other"
 )
 
 var (
@@ -37,7 +40,10 @@
 		sends       *prometheus.CounterVec
 		quotas      *prometheus.CounterVec
 		servedCount atomic.Int64
-		routes      routeLabels
+		customers   *prometheus.CounterVec
+		routes      boundedLabels
+		// customerNames are the label values of customers.
+		customerNames boundedLabels
 	}
 )
 
@@ -62,8 +68,14 @@
 			Name: "gooseberry_quota_requests_total",
 			Help: "Attempts to send to upstreams with a limit by outcome: granted or refused by the quota's owner, share_granted or share_refused without it.",
 		}, []string{"outcome"}),
+		customers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberry_customer_requests_total",
+			Help: "Requests by customer, outcome (served or refused) and reason of the refusal. Without a known key the customer is empty.",
+		}, []string{"customer", "outcome", "reason"}),
+		routes:        boundedLabels{max: maxRoutes},
+		customerNames: boundedLabels{max: maxCustomers},
 	}
-	s.registry.MustRegister(s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
+	s.registry.MustRegister(s.customers, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
 	return s
 }
 
@@ -84,6 +96,14 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// MeasureKeyAge adds a gauge of the age of the knowledge of customers' keys, in seconds.
+func (s *Set) MeasureKeyAge(age func() float64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "gooseberry_key_age_seconds",
+		Help: "Time since the last instant for which the keys of customers are known; 0 without customers.",
+	}, age))
+}
+
 // Handler returns a handler that serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
@@ -104,6 +124,13 @@
 		s.servedCount.Add(1)
 	}
 	s.requests.WithLabelValues(route, r.Kind(), outcome, reason, ran).Inc()
+	if r.Customer != "" || reason == refusal.Unauthenticated.String() {
+		customer := r.Customer
+		if customer != "" {
+			customer = s.customerNames.label(customer)
+		}
+		s.customers.WithLabelValues(customer, outcome, reason).Inc()
+	}
 	s.total.WithLabelValues(route).Observe(r.Took.Seconds())
 	if r.TimeToFirstByte > 0 {
 		s.firstByte.WithLabelValues(route).Observe(r.TimeToFirstByte.Seconds())
--- a/router/metric/metric_test.go
+++ b/router/metric/metric_test.go
@@ -56,3 +56,27 @@
 	is.Equal(strings.Count(metricsText(s), "gooseberry_requests_total{"), 201)
 	is.True(strings.Contains(metricsText(s), `route="other"} 800`))
 }
+
+// Requests are counted by customer, and the number of label values stays bounded with many customers.
+func TestCustomerMetrics(t *testing.T) {
+	is := is.New(t)
+	s := metric.NewSet()
+	s.MeasureKeyAge(func() float64 { return 1.5 })
+	s.Request(gateway.Record{Refusal: refusal.New(refusal.RanNo, refusal.Unauthenticated, 0, "unknown key")})
+	s.Request(gateway.Record{Refusal: refusal.New(refusal.RanNo, refusal.Overloaded, 0, "full")})
+	for i := range 100 {
+		s.Request(gateway.Record{Customer: fmt.Sprint("c", i)})
+	}
+	s.Request(gateway.Record{Customer: "c0", Refusal: refusal.New(refusal.RanNo, refusal.Overloaded, 0, "full")})
+	page := metricsText(s)
+	is.Equal(strings.Count(page, "gooseberry_customer_requests_total{"), 67)
+	for _, line := range []string{
+		`gooseberry_customer_requests_total{customer="",outcome="refused",reason="unauthenticated"} 1`,
+		`gooseberry_customer_requests_total{customer="c0",outcome="served",reason=""} 1`,
+		`gooseberry_customer_requests_total{customer="c0",outcome="refused",reason="overloaded"} 1`,
+		`gooseberry_customer_requests_total{customer="other",outcome="served",reason=""} 36`,
+		`gooseberry_key_age_seconds 1.5`,
+	} {
+		is.True(strings.Contains(page, line))
+	}
+}
