Store: stop trusting keys without recent knowledge

An entry that is cut off from the store went on with the keys that it knew, so a revoked key ran there for as long as the cut lasted. Without strict revocation, or without tenants, reads are as before.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -67,6 +67,10 @@
 	UpstreamLeaving = Event{Number: 6032, Text: "upstream announced that it leaves"}
 	// UpstreamBackoff is logged when an upstream rejects a request and asks for no more for a time.
 	UpstreamBackoff = Event{Number: 6033, Text: "upstream asks for no requests"}
+	// KeysOutdated is logged when the keys of customers are no longer trusted, as some may have been revoked.
+	KeysOutdated = Event{Number: 6050, Text: "keys of customers not trusted"}
+	// KeysTrusted is logged when the keys of customers are trusted again.
+	KeysTrusted = Event{Number: 6051, Text: "keys of customers trusted again"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
 )
--- a/router/gateway/identity.go
+++ b/router/gateway/identity.go
@@ -35,6 +35,9 @@
 func (g *Gateway) admissionTable() (*ingress.Table, revocation.Verdict) {
 	for {
 		table := g.rules.Current()
+		if table == nil || !table.HasCustomers() {
+			return table, revocation.Trusted{}
+		}
 		verdict := g.checkKeys()
 		if table == g.rules.Current() {
 			return table, verdict
--- a/router/revocation/knowledge.go
+++ b/router/revocation/knowledge.go
@@ -40,6 +40,8 @@
 	Outdated struct {
 		// Age is the age of the knowledge, or the time since the start of the process if there is none.
 		Age time.Duration
+		// Suspended is the part of the age for which the monotonic clock stood still.
+		Suspended time.Duration
 	}
 
 	// Knowledge is how recent an entry's knowledge of the configuration is. It is safe for concurrent use.
@@ -137,9 +139,10 @@
 
 // decide returns the verdict for now. The caller holds the lock.
 func (k *Knowledge) decide() Verdict {
-	age := max(0, k.clock.Now().Since(k.proven))
+	now := k.clock.Now()
+	age := max(0, now.Since(k.proven))
 	if k.deadline > 0 && (!k.known || age >= k.trustedFor()) {
-		return Outdated{Age: age}
+		return Outdated{Age: age, Suspended: age - (now.Monotonic - k.proven.Monotonic)}
 	}
 	return Trusted{Age: age}
 }
--- a/router/revocation/knowledge_test.go
+++ b/router/revocation/knowledge_test.go
@@ -96,17 +96,16 @@
 func (e *entry) askPeers(done <-chan struct{}, others []*entry, random *rand.Rand) {
 	for !closed(done) {
 		ask, pause := e.AskPeers()
-		for range 2 {
-			if !ask || len(others) == 0 {
-				break
-			}
+		if ask && len(others) > 0 {
 			sent := e.Now()
 			time.Sleep(latency)
-			peer := others[random.IntN(len(others))]
-			if age, known := peer.Age(); known && age < deadline {
-				e.Prove(sent.Add(-age))
+			for range 2 {
+				peer := others[random.IntN(len(others))]
+				if age, known := peer.Age(); known && age < deadline {
+					e.Prove(sent.Add(-age))
+				}
+				e.asked.Add(1)
 			}
-			e.asked.Add(1)
 		}
 		time.Sleep(pause)
 	}
@@ -194,7 +193,7 @@
 
 // Entries that are cut off from the source serve without a gap while one other entry has it.
 func TestEntriesWithoutTheSourceServeByTheKnowledgeOfOthers(t *testing.T) {
-	tests := map[string]struct{ entries, connected int }{"one of two": {2, 1}, "half": {8, 4}, "one of eight": {8, 1}}
+	tests := map[string]struct{ entries, connected int }{"one of two": {2, 1}, "half": {8, 4}, "one of eight": {8, 1}, "one of forty": {40, 1}}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, tt.entries, func(t *testing.T, entries []*entry) {
@@ -248,7 +247,9 @@
 		time.Sleep(3 * time.Second)
 		is.True(trusted(e))
 		e.clock.suspend(deadline)
-		is.True(!trusted(e))
+		verdict, outdated := e.Check().(revocation.Outdated)
+		is.True(outdated)
+		is.Equal(verdict.Suspended, deadline)
 		time.Sleep(longestWatch)
 		is.True(trusted(e)) // by the next answer
 	})
