--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -17,8 +17,10 @@
 type (
 	// activeRequest is a request that is being served.
 	activeRequest struct {
-		gateway   *Gateway
-		request   *Request
+		gateway *Gateway
+		request *Request
+		// table is the table by which the request was admitted.
+		table     *ingress.Table
 		route     *ingress.Route
 		pool      ingress.Pool
 		poolState *poolState
@@ -27,6 +29,8 @@
 		// contents identify the content of the request for the quarantine of content that crashes
 		// upstreams.
 		contents []quarantine.Content
+		// customer is nil if no customers are in force, or on a public route without a known key.
+		customer *ingress.Customer
 	}
 )
 
@@ -36,7 +40,7 @@
 }
 
 func (ar *activeRequest) sendOptions() SendOptions {
-	return SendOptions{Remaining: ar.remaining(), Priority: ar.route.Priority}
+	return SendOptions{Remaining: ar.remaining(), Priority: ar.table.EnginePriority(ar.rank()), Identity: ar.identity()}
 }
 
 // contextRefusal returns the refusal of a request whose context is done: its deadline passed, or its caller
--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -46,11 +46,20 @@
 	SendOptions struct {
 		// Remaining is the time until the deadline of the caller. The upstream stops work after it.
 		Remaining time.Duration
-		// Priority ranks requests at an engine; 0 is the most urgent.
+		// Priority ranks requests at an engine from 0, the most urgent, to 9.
 		Priority int
 		// HeadTimeout bounds the time until the head of the answer. Zero sets no bound beyond the deadline of
 		// the caller.
 		HeadTimeout time.Duration
+		Identity    Identity
+	}
+
+	// Identity is what an upstream is told of the customer of a request.
+	Identity struct {
+		// InForce reports whether customers are in force. If not, the caller's own statements are passed on.
+		InForce bool
+		// Customer is the name of the customer; empty if there is none.
+		Customer string
 	}
 
 	// DecodeOptions are the options of a decode request.
