Gateway: keep the quotas of customers over all entries

Change: after authentication a request takes its amount from its customer's quota, or is refused with 429 and Retry-After. What did not run is given back; retries, hedges and resumed streams count once more. Requests beyond the quota earn no retries. Counters, state dump, events 6060 to 6064.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -82,4 +82,6 @@
 	CustomerReportFailed = Event{Number: 6062, Text: "quota report not answered"}
 	// CustomerQuotaChanged is logged when the configuration changes the quota of a customer.
 	CustomerQuotaChanged = Event{Number: 6063, Text: "customer quota changed"}
+	// CustomerReportInvalid is logged when a report about the quotas of customers cannot be read or answered.
+	CustomerReportInvalid = Event{Number: 6064, Text: "quota report invalid"}
 )
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -31,9 +31,27 @@
 		contents []quarantine.Content
 		// customer is nil if no customers are in force, or on a public route without a known key.
 		customer *ingress.Customer
+		// charge is what the request has taken of its customer's quota.
+		charge charge
 	}
 )
 
+// serve serves a request that is within the quota of its customer.
+func (ar *activeRequest) serve(ctx context.Context) *refusal.Refusal {
+	ar.poolState.retryBudget.RecordFirstTry()
+	ar.contents = ar.request.contents()
+	if refused := ar.refuseQuarantined(refusal.RanNo); refused != nil {
+		return refused
+	}
+	switch ar.route.Kind.(type) {
+	case ingress.Streaming:
+		return ar.generate(ctx)
+	case ingress.Idempotent, ingress.NonIdempotent:
+		return ar.call(ctx)
+	}
+	return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "route of an unknown kind")
+}
+
 // remaining returns the time until the deadline of the caller.
 func (ar *activeRequest) remaining() time.Duration {
 	return time.Until(ar.request.deadline(ar.route))
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -57,6 +57,7 @@
 		notifySuspects func()
 		answerMemory   byteBudget
 		quota          Quota
+		customerQuota  CustomerQuota
 		checkKeys      KeyCheck
 
 		mu       sync.Mutex
@@ -101,6 +102,7 @@
 		notifySuspects: func() {},
 		answerMemory:   byteBudget{limit: defaultAnswerBytes},
 		quota:          unlimited{},
+		customerQuota:  unlimitedCustomers{},
 		checkKeys:      func() revocation.Verdict { return revocation.Trusted{} },
 		random:         rand.New(rand.NewPCG(1, 1)),
 		pools:          make(map[string]*poolState),
@@ -221,18 +223,12 @@
 	defer cancel()
 	w := &activeRequest{gateway: g, request: r, table: table, route: route, customer: customer, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.poolState = g.poolState(w.pool)
-	w.poolState.retryBudget.RecordFirstTry()
-	w.contents = r.contents()
-	if refused := w.refuseQuarantined(refusal.RanNo); refused != nil {
+	if refused := w.takeCustomerQuota(ctx); refused != nil {
 		return refused
 	}
-	switch route.Kind.(type) {
-	case ingress.Streaming:
-		return w.generate(ctx)
-	case ingress.Idempotent, ingress.NonIdempotent:
-		return w.call(ctx)
-	}
-	return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "route of an unknown kind")
+	refused = w.serve(ctx)
+	w.returnCustomerQuota(refused)
+	return refused
 }
 
 // poolState returns the state of a pool, which it creates for the first request.
--- a/router/gateway/send.go
+++ b/router/gateway/send.go
@@ -53,7 +53,8 @@
 	return total
 }
 
-// countSend counts a send of the request to an upstream.
+// countSend counts a send of the request to an upstream, also against the quota of the customer.
 func (ar *activeRequest) countSend(reason SendReason) {
 	ar.record.Sends[reason]++
+	ar.chargeSend(reason)
 }
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -41,7 +41,10 @@
 		quotas      *prometheus.CounterVec
 		servedCount atomic.Int64
 		customers   *prometheus.CounterVec
-		routes      boundedLabels
+		// customerQuotas and customerAmounts count requests and their amounts.
+		customerQuotas  *prometheus.CounterVec
+		customerAmounts *prometheus.CounterVec
+		routes          boundedLabels
 		// customerNames are the label values of customers.
 		customerNames boundedLabels
 	}
@@ -72,10 +75,18 @@
 			Name: "gooseberry_customer_requests_total",
 			Help: "Requests by customer, outcome (served or refused) and reason of the refusal. Without a known key the customer is empty.",
 		}, []string{"customer", "outcome", "reason"}),
+		customerQuotas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberry_customer_quota_requests_total",
+			Help: "Requests of customers with a quota by customer and outcome: granted or refused, share_granted or share_refused from this entry's own part.",
+		}, []string{"customer", "outcome"}),
+		customerAmounts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gooseberry_customer_quota_units_total",
+			Help: "What these requests count as, in the unit of the customer's quota.",
+		}, []string{"customer", "outcome"}),
 		routes:        boundedLabels{max: maxRoutes},
 		customerNames: boundedLabels{max: maxCustomers},
 	}
-	s.registry.MustRegister(s.customers, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
+	s.registry.MustRegister(s.customers, s.customerQuotas, s.customerAmounts, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
 	return s
 }
 
@@ -88,6 +99,13 @@
 	s.quotas.WithLabelValues(string(o)).Inc()
 }
 
+// CustomerQuota counts a request of a customer with a quota, and its amount.
+func (s *Set) CustomerQuota(customer string, o quota.Outcome, amount float64) {
+	name := s.customerNames.label(customer)
+	s.customerQuotas.WithLabelValues(name, string(o)).Inc()
+	s.customerAmounts.WithLabelValues(name, string(o)).Add(amount)
+}
+
 // CountLimits adds a gauge of the upstreams that limit the requests of all entries together.
 func (s *Set) CountLimits(count func() int) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/router/quota/allocator.go
+++ b/router/quota/allocator.go
@@ -204,7 +204,9 @@
 	share.Target = even*max(0, share.Available)/float64(a.entries) + demandPart*capacity*demandShare
 	share.Debt = c.division.debt / float64(a.entries)
 	share.PerSecond = perSecond * max(use.Demand/max(c.demand, perSecond), 1/float64(a.entries))
-	share.Grant = max(0, min(share.Target-use.Held, c.free.level-centralPart*share.Available), min(use.Want-use.Held, c.free.level))
+	top := min(share.Target-use.Held, c.free.level-centralPart*share.Available)
+	// Grants are whole units, so that amounts need no rounding on their way.
+	share.Grant = max(0, math.Floor(max(top, min(math.Ceil(use.Want-use.Held), c.free.level))))
 	share.Short = use.Want > use.Held+share.Grant
 	c.free.level -= share.Grant
 	c.held += share.Grant
--- a/router/quota/customer.go
+++ b/router/quota/customer.go
@@ -9,9 +9,8 @@
 	debtPart  = 0.3
 	// transitionTime is the time for which entries that change their owner may be granted a rate twice.
 	transitionTime = time.Second
-	// minCapacityTime is the time for which unused amounts accumulate at least. With less, an entry could never hold a
-	// request.
-	minCapacityTime = 100 * time.Millisecond
+	// minCapacity is the amount that may accumulate unused at least: with less than a unit, no request is ever granted.
+	minCapacity = 1
 )
 
 type (
@@ -47,6 +46,24 @@
 		Granted float64 `json:"granted"`
 	}
 
+	// CustomerState is what an entry has of a customer's quota, for the state dump. Rates are in units a second.
+	CustomerState struct {
+		Name      string  `json:"name"`
+		PerSecond float64 `json:"per_second"`
+		Burst     float64 `json:"burst"`
+		// Held is what this entry may still grant without asking.
+		Held float64 `json:"held"`
+		// Granted and Demand are what requests got and asked for at this entry.
+		Granted float64 `json:"granted"`
+		Demand  float64 `json:"demand"`
+		// FleetGranted and FleetDemand are the same at all entries, and FleetRemaining what all of them may spend now.
+		FleetGranted   float64 `json:"fleet_granted"`
+		FleetDemand    float64 `json:"fleet_demand"`
+		FleetRemaining float64 `json:"fleet_remaining"`
+		// Allocator is the entry that divides the quota; empty while this entry uses its own part.
+		Allocator string `json:"allocator"`
+	}
+
 	// CustomerReport is the report of an entry to the allocator of the fleet.
 	CustomerReport struct {
 		// Entry is the address of the entry, and Process identifies its process.
@@ -130,7 +147,7 @@
 	beyond := max(0, allowed-inWindow-l.Burst-reserved)
 	d := division{
 		perSecond: l.PerSecond,
-		capacity:  max(l.Burst+burstPart*beyond, l.PerSecond*minCapacityTime.Seconds()),
+		capacity:  max(l.Burst+burstPart*beyond, minCapacity),
 		debt:      debtPart * beyond,
 	}
 	d.partition = min(partitionFactor, max(1, (allowed-reserved)/(inWindow+d.capacity+d.debt)))
--- a/router/quota/customers.go
+++ b/router/quota/customers.go
@@ -1,8 +1,10 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,7 +158,7 @@
 		return
 	}
 	s.taken -= amount
-	if s.limit.PerSecond <= 0 || c.link.lost || !s.known {
+	if s.limit.PerSecond <= 0 || c.ownPart(s) {
 		return
 	}
 	// Requests may wait long before they are refused. What they return together must not exceed what the entry may hold.
@@ -175,7 +177,7 @@
 	if s.limit.PerSecond <= 0 {
 		return
 	}
-	if c.link.lost || !s.known {
+	if c.ownPart(s) {
 		s.ownPart.level -= amount
 		return
 	}
@@ -193,6 +195,26 @@
 	return list
 }
 
+// States returns what this entry has of the quotas of all customers, ordered by name.
+func (c *Customers) States() []CustomerState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateLimits()
+	list := make([]CustomerState, 0, len(c.states))
+	for name, s := range c.states {
+		state := CustomerState{
+			Name: name, PerSecond: s.limit.PerSecond, Burst: s.limit.Burst, Held: s.held, Granted: s.granted, Demand: s.demand,
+			FleetGranted: s.share.Granted, FleetDemand: s.share.Demand, FleetRemaining: s.share.Available, Allocator: c.link.address,
+		}
+		if c.ownPart(s) {
+			state.Held, state.Allocator = s.ownPart.level, ""
+		}
+		list = append(list, state)
+	}
+	slices.SortFunc(list, func(a, b CustomerState) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // state returns what this entry has of a customer's quota, or nil for a customer without one. The caller holds the lock.
 func (c *Customers) state(customer string) *customerState {
 	c.updateLimits()
@@ -226,7 +248,7 @@
 func (c *Customers) decide(s *customerState, amount float64) Decision {
 	now := time.Now()
 	switch {
-	case c.link.lost || !s.known:
+	case c.ownPart(s):
 		return c.takeOwnPart(s, amount, now)
 	case s.held >= amount, s.held > 0 && s.held-amount >= -s.share.Debt:
 		s.held -= amount
@@ -246,7 +268,7 @@
 		available := max(c.link.nextEarly(now), untilAmount(amount-s.held, s.share.PerSecond))
 		d = Denied{RetryAfter: s.retries.next(available, amount, max(s.share.PerSecond, minPerSecond), now)}
 	}
-	own := c.link.lost || !s.known
+	own := c.ownPart(s)
 	switch d.(type) {
 	case Allowed:
 		s.taken += amount
@@ -257,6 +279,11 @@
 	return d
 }
 
+// ownPart reports whether this entry uses its own part of a quota. The caller holds the lock.
+func (c *Customers) ownPart(s *customerState) bool {
+	return c.link.lost || !s.known
+}
+
 // takeOwnPart takes an amount of this entry's own part of a quota. The caller holds the lock.
 func (c *Customers) takeOwnPart(s *customerState, amount float64, now time.Time) Decision {
 	perSecond := s.limit.PerSecond / float64(max(1, c.members.Divisor()))
--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -91,11 +91,11 @@
 
 // report sends one report and returns the time until the next one.
 func (c *Customers) report(ctx context.Context) time.Duration {
-	owner := c.owner()
-	r, early := c.newReport(owner)
-	if len(r.Customers) == 0 && !c.hasCustomers() {
+	if !c.hasLimits() {
 		return reportInterval
 	}
+	owner := c.owner()
+	r, early := c.newReport(owner)
 	sent := time.Now()
 	answer, err := c.send(ctx, owner, r)
 	if ctx.Err() != nil {
@@ -133,11 +133,17 @@
 	return owners[0]
 }
 
-func (c *Customers) hasCustomers() bool {
+// hasLimits reports whether any customer has a limit.
+func (c *Customers) hasLimits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateLimits()
-	return len(c.states) > 0
+	for _, s := range c.states {
+		if s.limit.PerSecond > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // send sends a report, to this entry's own allocator if it is the owner.
