--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -17,8 +17,10 @@
 type (
 	// activeRequest is a request that is being served.
 	activeRequest struct {
-		gateway   *Gateway
-		request   *Request
+		gateway *Gateway
+		request *Request
+		// table is the table by which the request was admitted.
+		table     *ingress.Table
 		route     *ingress.Route
 		pool      ingress.Pool
 		poolState *poolState
@@ -27,16 +29,36 @@
 		// contents identify the content of the request for the quarantine of content that crashes
 		// upstreams.
 		contents []quarantine.Content
+		// customer is nil if no customers are in force, or on a public route without a known key.
+		customer *ingress.Customer
+		// charge is what the request has taken of its customer's quota.
+		charge charge
 	}
 )
 
+// serve serves a request that is within the quota of its customer.
+func (ar *activeRequest) serve(ctx context.Context) *refusal.Refusal {
+	ar.poolState.retryBudget.RecordFirstTry()
+	ar.contents = ar.request.contents()
+	if refused := ar.refuseQuarantined(refusal.RanNo); refused != nil {
+		return refused
+	}
+	switch ar.route.Kind.(type) {
+	case ingress.Streaming:
+		return ar.generate(ctx)
+	case ingress.Idempotent, ingress.NonIdempotent:
+		return ar.call(ctx)
+	}
+	return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "route of an unknown kind")
+}
+
 // remaining returns the time until the deadline of the caller.
 func (ar *activeRequest) remaining() time.Duration {
 	return time.Until(ar.request.deadline(ar.route))
 }
 
 func (ar *activeRequest) sendOptions() SendOptions {
-	return SendOptions{Remaining: ar.remaining(), Priority: ar.route.Priority}
+	return SendOptions{Remaining: ar.remaining(), Priority: ar.table.EnginePriority(ar.rank()), Identity: ar.identity()}
 }
 
 // contextRefusal returns the refusal of a request whose context is done: its deadline passed, or its caller
