Speed: learn the speeds of engines from all entries' samples

An entry sends each prefill engine about five prompts in 34 s, so it cannot tell slow engines from its own sends. router/speed keeps the newest 16 samples of each engine (time per prompt token as answered, time per output token between events) and shares them with the exchanges of the membership: 16 bytes a sample, at most 64 in a message, and only in the bytes that the other state leaves of 6,600. Merging is a union of samples, of which the newest are kept, so it is commutative and idempotent (property test). An engine is judged slow when its best recent sample differs by the factor from a fast engine of its pool for a second.

Nothing is placed by the figures yet.

--- a/router/adapter/member/member.go
+++ b/router/adapter/member/member.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -79,11 +80,13 @@
 }
 
 func toMessage(update membership.Update) *fleetv1.News {
-	return &fleetv1.News{Members: toMessages(update.Members), Suspects: wire.FromSuspects(update.Suspects), Ejected: update.Ejected, Limits: toLimits(update.Limits)}
+	m := &fleetv1.News{Members: toMessages(update.Members), Suspects: wire.FromSuspects(update.Suspects), Ejected: update.Ejected, Limits: toLimits(update.Limits)}
+	appendSpeeds(m, update.Speeds, time.Now())
+	return m
 }
 
 func fromMessage(m *fleetv1.News) membership.Update {
-	return membership.Update{Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected(), Limits: fromLimits(m.GetLimits())}
+	return membership.Update{Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected(), Limits: fromLimits(m.GetLimits()), Speeds: speedsOf(m, time.Now())}
 }
 
 func toMessages(members []membership.Member) []*fleetv1.Member {
--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -14,6 +14,7 @@
 	"gooseberrypin.example/router/membership"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
+	"gooseberrypin.example/router/speed"
 )
 
 const (
@@ -49,6 +50,9 @@
 			Upstream: fmt.Sprintf("i-%010x@1790000000123", i), Stated: true, PerSecond: 123.4, Since: now.Add(-time.Hour), Observed: now.Add(-time.Minute),
 		})
 	}
+	for i := range speed.MaxShared {
+		update.Speeds = append(update.Speeds, speed.Sample{Engine: uint64(i), ID: uint32(i), Tokens: 3200, PerToken: 30 * time.Microsecond, Observed: time.Now()})
+	}
 	return update
 }
 
--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -69,4 +69,8 @@
 	UpstreamBackoff = Event{Number: 6033, Text: "upstream asks for no requests"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
+	// UpstreamSlow is logged when an engine is judged to be slower than others of its pool.
+	UpstreamSlow = Event{Number: 6070, Text: "upstream slow"}
+	// UpstreamNormal is logged when an engine that was judged to be slow is as fast as others of its pool again.
+	UpstreamNormal = Event{Number: 6071, Text: "upstream no longer slow"}
 )
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
+	"gooseberrypin.example/router/speed"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -56,6 +57,8 @@
 		notifySuspects func()
 		answerMemory   byteBudget
 		quota          Quota
+		// speeds holds the learned speeds of engines; nil if they are not learned.
+		speeds *speed.Table
 
 		mu       sync.Mutex
 		random   *rand.Rand
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -83,6 +83,7 @@
 	case Prefilled:
 		m.Succeeded(time.Since(began))
 		n.poolState.estimates.recordPrefill(tokens, time.Since(began))
+		n.gateway.recordSpeed(m, tokens, time.Since(began))
 		if n.prefillAccepted {
 			n.countEngineRequest()
 		}
@@ -94,6 +95,10 @@
 		}
 		if ctx.Err() == nil {
 			n.recordFailure(m, Prefill, r.Reason, r.Err)
+			if r.Reason == NoAnswer && !r.ConnectionLost {
+				// The engine would have taken at least as long.
+				n.gateway.recordSpeed(m, tokens, time.Since(began))
+			}
 		}
 		n.countFailedPrefill(r.Reason)
 	}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -52,6 +52,8 @@
 		awaitsNumber bool
 		// received counts the numbered events that were received from all engines.
 		received int
+		// sample measures the speed of the current engine.
+		sample decodeSample
 	}
 )
 
@@ -79,6 +81,7 @@
 	}
 	before, receivedBefore := n.record.Events, n.relay.received
 	began := time.Now()
+	n.relay.sample = decodeSample{member: m}
 	err := n.relay.forward(ctx, a, n.stallMonitor)
 	t.Begun = n.relay.received > receivedBefore
 	if events := n.record.Events - before; events > 0 {
@@ -192,7 +195,12 @@
 	}
 	r.activeRequest.record.MaxGap = max(r.activeRequest.record.MaxGap, now.Sub(r.lastEventAt))
 	r.lastEventAt = now
-	if err := r.activeRequest.reply.Write(e.Raw); err != nil || ctx.Err() != nil {
+	if e.HasID {
+		r.sampleEvent(now)
+	}
+	err := r.activeRequest.reply.Write(e.Raw)
+	r.sample.writing += time.Since(now)
+	if err != nil || ctx.Err() != nil {
 		return errCallerDisconnected
 	}
 	r.activeRequest.record.Events++
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -15,6 +15,7 @@
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/rendezvous"
+	"gooseberrypin.example/router/speed"
 )
 
 const (
@@ -61,6 +62,8 @@
 		Ejected []string
 		// Limits are the limits of upstreams that the sender knows.
 		Limits []quota.Limit
+		// Speeds are samples of the speeds of engines, the most useful first. A message with much else holds fewer of them.
+		Speeds []speed.Sample
 	}
 
 	// Peers sends updates to other entries.
--- /dev/null
+++ b/router/speed/view.go
@@ -0,0 +1,229 @@
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/upstream"
+)
+
+const (
+	// viewAge is how long a view is used before it is computed again.
+	viewAge = 100 * time.Millisecond
+	// prefillHalfLife and decodeHalfLife are the times in which the weight of a sample halves. The time of a prompt
+	// follows the queue of the engine, while the speed at which it decodes changes little.
+	prefillHalfLife = 2 * time.Second
+	decodeHalfLife  = 5 * time.Second
+	// prefillPriorTokens and decodePriorTokens are the weight of the median of the pool beside the samples of an
+	// engine. Without new samples, its estimate approaches the median within some seconds, so that it is tried again.
+	prefillPriorTokens = 800
+	decodePriorTokens  = 50
+	// minSamples is the number of samples from which on an engine is judged.
+	minSamples = 3
+	// recentTime is the age up to which samples are judged, if there are minRecent of them.
+	recentTime = 4 * time.Second
+	minRecent  = 4
+	// verdictTime is how long the samples of an engine have to speak against its verdict before it changes. A queue after
+	// a burst is shorter.
+	verdictTime = time.Second
+	// referenceQuantile is the quantile of the engines of a pool against which they are judged. It is a fast engine
+	// also if two in three are slow.
+	referenceQuantile = 0.25
+)
+
+type (
+	// View is what is known of the engines of one pool and phase. A nil view knows nothing.
+	View struct {
+		uneven   bool
+		median   time.Duration
+		perToken map[string]time.Duration
+		computed time.Time
+	}
+
+	// Figure is the learned speed of an engine in a state dump.
+	Figure struct {
+		Upstream string `json:"upstream"`
+		Pool     string `json:"pool"`
+		Phase    string `json:"phase"`
+		// PerTokenUS is the estimated time per token, in microseconds.
+		PerTokenUS float64 `json:"per_token_us"`
+		Samples    int     `json:"samples"`
+		// AgeMS is the age of the newest sample.
+		AgeMS int64 `json:"age_ms"`
+		Slow  bool  `json:"slow"`
+	}
+
+	// role is a key of the views.
+	role struct {
+		pool  string
+		phase upstream.Phase
+	}
+
+	// judged is an engine with enough samples to be judged.
+	judged struct {
+		*engine
+		member *upstream.Member
+		best   time.Duration
+	}
+)
+
+// Uneven reports whether an engine of the pool was judged slow. If it is false, the engines differ too little, or too
+// little is known of them, to place requests by their speed.
+func (v *View) Uneven() bool { return v != nil && v.uneven }
+
+// PerToken returns the estimated time that an engine takes for a token. For an unknown engine, that is the median of the
+// pool.
+func (v *View) PerToken(m *upstream.Member) time.Duration {
+	if perToken, found := v.perToken[m.ID]; found {
+		return perToken
+	}
+	return v.median
+}
+
+// Median returns the median of the estimates of the pool.
+func (v *View) Median() time.Duration { return v.median }
+
+// View returns what is known of the engines of one pool and phase. members returns all of them.
+func (t *Table) View(members func() []*upstream.Member, pool string, phase upstream.Phase, now time.Time) *View {
+	if t == nil || t.factor <= 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := role{pool, phase}
+	if v, found := t.views[r]; found && now.Sub(v.computed) < viewAge {
+		return v
+	}
+	v := t.compute(members(), now)
+	t.views[r] = v
+	return v
+}
+
+// compute judges the engines of a pool and estimates their speeds. The caller holds the lock.
+func (t *Table) compute(members []*upstream.Member, now time.Time) *View {
+	v := &View{perToken: make(map[string]time.Duration, len(members)), computed: now}
+	var list []judged
+	means := make([]float64, 0, len(members))
+	for _, m := range members {
+		e, found := t.engines[Key(m.Upstream)]
+		if !found {
+			continue
+		}
+		if sum, weight := e.weigh(m.Phase, now); weight > 0 {
+			means = append(means, sum/weight)
+		}
+		if len(e.samples) >= minSamples {
+			list = append(list, judged{e, m, e.best(now)})
+		}
+	}
+	if len(means) == 0 {
+		return v
+	}
+	slices.Sort(means)
+	median := means[len(means)/2]
+	v.median = time.Duration(median)
+	for _, m := range members {
+		if e, found := t.engines[Key(m.Upstream)]; found {
+			sum, weight := e.weigh(m.Phase, now)
+			prior := priorTokens(m.Phase)
+			v.perToken[m.ID] = time.Duration((sum + prior*median) / (weight + prior))
+		}
+	}
+	v.uneven = t.judge(list, now)
+	return v
+}
+
+// weigh returns the sums of the samples' times and tokens, each with a weight that falls with its age.
+func (e *engine) weigh(phase upstream.Phase, now time.Time) (sum, tokens float64) {
+	halfLife := prefillHalfLife
+	if phase == upstream.PhaseDecode {
+		halfLife = decodeHalfLife
+	}
+	for _, s := range e.samples {
+		weight := float64(s.Tokens) * math.Exp2(-now.Sub(s.Observed).Seconds()/halfLife.Seconds())
+		sum += weight * float64(s.PerToken)
+		tokens += weight
+	}
+	return sum, tokens
+}
+
+func priorTokens(phase upstream.Phase) float64 {
+	if phase == upstream.PhaseDecode {
+		return decodePriorTokens
+	}
+	return prefillPriorTokens
+}
+
+// best returns the shortest time per token in the recent samples: most likely that prompt found no queue, or that stream
+// had few others beside it.
+func (e *engine) best(now time.Time) time.Duration {
+	samples := e.samples
+	if recent := slices.IndexFunc(samples, func(s Sample) bool { return now.Sub(s.Observed) > recentTime }); recent >= minRecent {
+		samples = samples[:recent]
+	}
+	return slices.MinFunc(samples, func(a, b Sample) int { return int(a.PerToken - b.PerToken) }).PerToken
+}
+
+// judge updates the verdicts on engines, and reports whether any of them is slow. An engine becomes slow when it differs
+// by the factor from the faster engines of its pool, and normal again when it differs by half as much. The caller holds
+// the lock.
+func (t *Table) judge(list []judged, now time.Time) bool {
+	if len(list) < 2 {
+		return false
+	}
+	slices.SortFunc(list, func(a, b judged) int { return int(a.best - b.best) })
+	reference := list[int(referenceQuantile*float64(len(list)-1))].best
+	uneven := false
+	for _, j := range list {
+		bound := t.factor
+		if j.slow {
+			bound = (1 + t.factor) / 2
+		}
+		switch slow := float64(j.best) >= bound*float64(reference); {
+		case slow == j.slow:
+			j.differsSince = time.Time{}
+		case j.differsSince.IsZero():
+			j.differsSince = now
+		case now.Sub(j.differsSince) >= verdictTime:
+			j.slow, j.differsSince = slow, time.Time{}
+			t.logVerdict(j, reference)
+		}
+		uneven = uneven || j.slow
+	}
+	return uneven
+}
+
+func (t *Table) logVerdict(j judged, reference time.Duration) {
+	verdict := event.UpstreamNormal
+	if j.slow {
+		verdict = event.UpstreamSlow
+	}
+	t.log.Info(verdict, "upstream", j.member.ID, "pool", j.member.Pool, "phase", j.member.Phase.String(),
+		"per_token_us", microseconds(j.best), "fast_per_token_us", microseconds(reference), "factor", t.factor)
+}
+
+// Figures returns the learned speeds of the engines of one pool and phase for a state dump.
+func (t *Table) Figures(members []*upstream.Member, pool string, phase upstream.Phase, now time.Time) []Figure {
+	var figures []Figure
+	v := t.View(func() []*upstream.Member { return members }, pool, phase, now)
+	if v == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		if e, found := t.engines[Key(m.Upstream)]; found && len(e.samples) > 0 {
+			figures = append(figures, Figure{
+				Upstream: m.ID, Pool: m.Pool, Phase: m.Phase.String(), PerTokenUS: microseconds(v.PerToken(m)),
+				Samples: len(e.samples), AgeMS: now.Sub(e.samples[0].Observed).Milliseconds(), Slow: e.slow,
+			})
+		}
+	}
+	return figures
+}
+
+func microseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Microsecond)
+}
