Gateway: send prompts to the prefill engine that is expected to finish first

Where a third of the prefill engines take 2.4 times as long, they got as many prompts as the others, because each entry compares only its own prompts in flight. Where router/speed has judged an engine slow, a prompt now goes to one of two engines drawn at random and one of the data centre, with a weight of the inverse square of the expected finish: the learned time per token, queueing included, times this prompt and those that this entry has in flight there. Time-outs and the choice to prefill at the decode engine use the same figure. Elsewhere nothing changes.

An engine is judged by its best time in about eight seconds, as four seconds took queues of bursts for slow engines.

--- a/router/gateway/learn.go
+++ b/router/gateway/learn.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gooseberrypin.example/router/speed"
@@ -14,6 +16,8 @@
 	// maxWriteShare is the largest share of a sample's time that writes to the caller may take. A caller that reads slowly
 	// makes the stream slow.
 	maxWriteShare = 0.1
+	// soonestDrawn is the number of engines that are drawn at random for a choice by the expected finish.
+	soonestDrawn = 2
 )
 
 type (
@@ -58,3 +62,41 @@
 	}
 	*s = decodeSample{member: s.member, began: now}
 }
+
+// speedsOf returns what is known of the speeds of the engines of the pool in a phase; nil if nothing is known.
+func (n *generation) speedsOf(phase upstream.Phase) *speed.View {
+	return n.gateway.speedsOf(n.pool.Name, phase)
+}
+
+func (g *Gateway) speedsOf(pool string, phase upstream.Phase) *speed.View {
+	published := func() []*upstream.Member { return g.directory.Published(pool, phase) }
+	return g.speeds.View(published, pool, phase, time.Now())
+}
+
+// chooseSoonest returns a chooser of a prefill engine by the expected finish of the prompt. It draws two engines at random and
+// one in the data centre: with the best of all engines, the prompts of all entries would go to the same engine until its
+// figure changes. Of those it draws one with a weight of the inverse square of the expected finish, with which engines get
+// prompts in proportion to their speed, and slow ones are tried again.
+func chooseSoonest(speeds *speed.View, promptTokens int) chooser {
+	return func(members []*upstream.Member, dataCentre string, tried map[string]bool, random *rand.Rand) *upstream.Member {
+		untried := slices.DeleteFunc(slices.Clone(members), func(m *upstream.Member) bool { return tried[m.ID] })
+		random.Shuffle(len(untried), func(i, j int) { untried[i], untried[j] = untried[j], untried[i] })
+		drawn := slices.Clone(untried[:min(len(untried), soonestDrawn)])
+		if i := slices.IndexFunc(untried, func(m *upstream.Member) bool { return m.DataCentre == dataCentre }); i >= soonestDrawn {
+			drawn = append(drawn, untried[i])
+		}
+		var chosen *upstream.Member
+		total := 0.0
+		for _, m := range drawn {
+			finish := float64(speeds.PerToken(m)) * float64(promptTokens+m.Load().Tokens)
+			if m.DataCentre != dataCentre {
+				finish += remoteCostTokens * float64(speeds.Median())
+			}
+			weight := 1 / (finish * finish)
+			if total += weight; random.Float64()*total < weight {
+				chosen = m
+			}
+		}
+		return chosen
+	}
+}
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -35,7 +35,7 @@
 	tried := make(map[string]bool)
 	for prefills := 0; prefills < maxPrefills; {
 		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
-		m := n.gateway.pick(choosePrefill, members, grant.Member.DataCentre, tried)
+		m := n.gateway.pick(n.prefillChooser(), members, grant.Member.DataCentre, tried)
 		if m == nil || prefills > 0 && !n.reserveRetries(1) {
 			// Without a prefill engine, the decode engine prefills the prompt itself.
 			return nil, true
@@ -66,6 +66,14 @@
 	return n.retryOrRefuse("no prefill engine read the prompt"), false
 }
 
+// prefillChooser returns how a prefill engine is chosen: by the expected finish if the engines differ, and else by the load.
+func (n *generation) prefillChooser() chooser {
+	if speeds := n.speedsOf(upstream.PhasePrefill); speeds.Uneven() {
+		return chooseSoonest(speeds, n.request.Generation.PromptTokens)
+	}
+	return choosePrefill
+}
+
 // prefillAt sends the prompt to a prefill engine and returns the handle of its KV cache, or false if there is
 // none.
 func (n *generation) prefillAt(ctx context.Context, m *upstream.Member, members []*upstream.Member) (string, bool) {
@@ -125,9 +133,13 @@
 }
 
 // expectedPrefillTime returns the expected time until a prefill engine has finished its queue and a further
-// prompt of the given number of tokens. It assumes that each other entry has as many prompt tokens in flight as
-// this one, spread evenly over all prefill engines.
+// prompt of the given number of tokens. Where engines differ, it is that of the learned speed, which includes the prompts
+// of other entries. Otherwise it assumes that each other entry has as many prompt tokens in flight as this one, spread
+// evenly over all prefill engines.
 func (n *generation) expectedPrefillTime(m *upstream.Member, members []*upstream.Member, promptTokens int) time.Duration {
+	if speeds := n.speedsOf(upstream.PhasePrefill); speeds.Uneven() {
+		return speeds.PerToken(m) * time.Duration(m.Load().Tokens+promptTokens)
+	}
 	own := 0
 	for _, other := range members {
 		own += other.Load().Tokens
--- a/router/speed/speed.go
+++ b/router/speed/speed.go
@@ -24,6 +24,10 @@
 	maxSamples = 16
 	// maxEngines bounds the engines that samples are kept of.
 	maxEngines = 4096
+	// bestInterval is the length of the intervals of which the shortest time per token is kept, and bestIntervals their number.
+	// Together they are longer than the queue of a burst, in which no prompt shows the speed of its engine.
+	bestInterval  = 2 * time.Second
+	bestIntervals = 4
 	// retention is how long a sample is kept.
 	retention = 30 * time.Second
 	// sweepInterval is how often expired samples are removed.
@@ -69,11 +73,19 @@
 	engine struct {
 		// samples are ordered from the newest to the oldest.
 		samples []Sample
+		// bests are the shortest times per token of the latest intervals.
+		bests [bestIntervals]best
 		// slow is whether the engine was judged slow. differsSince is since when its samples speak against that verdict;
 		// zero if they do not.
 		slow         bool
 		differsSince time.Time
 	}
+
+	// best is the shortest time per token in an interval.
+	best struct {
+		interval int64
+		perToken time.Duration
+	}
 )
 
 // NewTable returns an empty table. factor is how many times slower than the faster engines of its pool an engine has to be
@@ -132,6 +144,11 @@
 	}
 }
 
+// interval returns the number of the interval that a time is in.
+func interval(at time.Time) int64 {
+	return at.UnixNano() / int64(bestInterval)
+}
+
 // add adds a sample to the newest ones. Of two copies of a sample it keeps the older one: gossip adds the time of its
 // messages.
 func (e *engine) add(s Sample) {
@@ -141,6 +158,9 @@
 		}
 		e.samples = slices.Delete(e.samples, i, i+1)
 	}
+	if b, number := &e.bests[interval(s.Observed)%bestIntervals], interval(s.Observed); number > b.interval || number == b.interval && s.PerToken < b.perToken {
+		*b = best{number, s.PerToken}
+	}
 	i, _ := slices.BinarySearchFunc(e.samples, s, Sample.compare)
 	e.samples = slices.Insert(e.samples, i, s)
 	e.samples = e.samples[:min(len(e.samples), maxSamples)]
--- a/router/speed/speed_test.go
+++ b/router/speed/speed_test.go
@@ -124,7 +124,8 @@
 	}
 }
 
-// An engine that slows down is found within seconds, and one that has recovered too. An engine without new samples
+// The figure of an engine that slows down follows within three seconds, and it is judged slow within eleven. One that has
+// recovered is found within two. An engine without new samples
 // approaches the median, so that it is tried again.
 func TestVerdictsFollowAndFade(t *testing.T) {
 	is := is.New(t)
@@ -138,13 +139,16 @@
 			return 30 * time.Microsecond
 		}
 	}
-	is.True(!record(table, members, 10, start, slowdown(1)).Uneven())
-	v := record(table, members, 6, start.Add(6*time.Second), slowdown(4))
+	at := func(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+	is.True(!record(table, members, 10, at(0), slowdown(1)).Uneven())
+	v := record(table, members, 3, at(3), slowdown(4))
+	is.True(v.PerToken(members[0]) > 60*time.Microsecond)
+	v = record(table, members, 8, at(11), slowdown(4))
 	is.True(v.Uneven())
 	is.True(v.PerToken(members[0]) > 90*time.Microsecond)
-	is.True(!record(table, members, 2, start.Add(8*time.Second), slowdown(1)).Uneven())
-	record(table, members, 6, start.Add(14*time.Second), slowdown(4))
-	later := record(table, members[1:], 10, start.Add(24*time.Second), slowdown(1))
+	is.True(!record(table, members, 2, at(13), slowdown(1)).Uneven())
+	record(table, members, 10, at(23), slowdown(4))
+	later := record(table, members[1:], 10, at(33), slowdown(1))
 	is.True(later.PerToken(members[0]) < 60*time.Microsecond)
 }
 
--- a/router/speed/view.go
+++ b/router/speed/view.go
@@ -21,12 +21,8 @@
 	prefillPriorTokens = 800
 	decodePriorTokens  = 50
 	// minSamples is the number of samples from which on an engine is judged.
-	minSamples = 3
-	// recentTime is the age up to which samples are judged, if there are minRecent of them.
-	recentTime = 4 * time.Second
-	minRecent  = 4
-	// verdictTime is how long the samples of an engine have to speak against its verdict before it changes. A queue after
-	// a burst is shorter.
+	minSamples = 8
+	// verdictTime is how long the samples of an engine have to speak against its verdict before it changes.
 	verdictTime = time.Second
 	// referenceQuantile is the quantile of the engines of a pool against which they are judged. It is a fast engine
 	// also if two in three are slow.
@@ -156,14 +152,20 @@
 	return prefillPriorTokens
 }
 
-// best returns the shortest time per token in the recent samples: most likely that prompt found no queue, or that stream
-// had few others beside it.
+// best returns the shortest time per token of the last bestIntervals and in the samples: most likely that prompt found no
+// queue, or that stream had few others beside it.
 func (e *engine) best(now time.Time) time.Duration {
-	samples := e.samples
-	if recent := slices.IndexFunc(samples, func(s Sample) bool { return now.Sub(s.Observed) > recentTime }); recent >= minRecent {
-		samples = samples[:recent]
+	shortest := e.samples[0].PerToken
+	for _, s := range e.samples {
+		shortest = min(shortest, s.PerToken)
+	}
+	current := interval(now)
+	for _, b := range e.bests {
+		if b.perToken > 0 && current-b.interval < bestIntervals {
+			shortest = min(shortest, b.perToken)
+		}
 	}
-	return slices.MinFunc(samples, func(a, b Sample) int { return int(a.PerToken - b.PerToken) }).PerToken
+	return shortest
 }
 
 // judge updates the verdicts on engines, and reports whether any of them is slow. An engine becomes slow when it differs
