Reservation: place streams by the learned speed of decode engines

Streams ran into their callers' deadlines at slow engines, and half of the reservations were refused, as slow engines hold memory 2.4 times as long and still got as many streams. Where an engine was judged slow, the queue now draws two engines with weights of their speed. An engine at which the stream would end after the deadline, or pause longer than the target, is the last resort. One where a stream of this entry has just ended comes first, and one that refused as much memory recently comes after the others until about that much is free again. Long outputs go to the faster of the two. Refused memory needs no gossip: it is out of date within one exchange.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -239,12 +239,18 @@
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
+	decodeSpeeds := func() *speed.View { return g.speedsOf(p.Name, upstream.PhaseDecode) }
+	memoryTokens := 0
+	if p.Engine != nil {
+		memoryTokens = p.Engine.KVTokens
+	}
 	life := reservationLife(p)
 	reserve := func(ctx context.Context, m *upstream.Member, tokens int) reservation.Outcome {
 		return g.reserve(ctx, m, tokens, life)
 	}
 	s.memoryQueue = reservation.NewQueue(reserve, g.upstreams.FreeReservation, decodeEngines,
-		reservation.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), reservation.WithEntries(g.entries))
+		reservation.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), reservation.WithEntries(g.entries),
+		reservation.WithSpeeds(decodeSpeeds, memoryTokens))
 	g.pools[p.Name] = s
 	return s
 }
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -144,14 +144,7 @@
 
 // reservationTokens returns the number of tokens to reserve: the prompt and the likely output.
 func (g *Generation) reservationTokens() int {
-	output := g.MaxOutputTokens
-	if g.LengthHint > 0 {
-		likely := int(lengthHintFactor*float64(g.LengthHint)) + lengthHintMarginTokens
-		if output <= 0 || likely < output {
-			output = likely
-		}
-	}
-	return max(1, g.PromptTokens+output)
+	return max(1, g.PromptTokens+g.likelyOutput(lengthHintMarginTokens))
 }
 
 // round acquires decode memory, prefills the prompt and decodes once.
@@ -271,12 +264,17 @@
 	return n.completeWaiter(reservation.Waiter{Arrived: n.request.Arrived, ExpiresIfContended: expires, Expires: expires, Resumed: true, Avoid: avoid})
 }
 
-// completeWaiter sets the tokens and the priority of a waiter, and limits its wait to the deadline of the
+// completeWaiter sets the tokens, the priority and the expected run of a waiter, and limits its wait to the deadline of the
 // caller.
 func (n *generation) completeWaiter(w reservation.Waiter) reservation.Waiter {
 	w.Tokens, w.Priority = n.record.Tokens, n.route.Priority
-	if end := n.request.deadline(n.route); w.Expires.After(end) {
-		w.Expires = end
+	w.Deadline = n.request.deadline(n.route)
+	if w.Expires.After(w.Deadline) {
+		w.Expires = w.Deadline
+	}
+	w.OutputTokens, w.Startup = n.request.Generation.likelyOutput(0), n.poolState.estimates.startupTime()
+	if kind, ok := n.route.Kind.(ingress.Streaming); ok && n.pool.Engine != nil {
+		w.MaxTokenTime = kind.MaxGap / time.Duration(max(1, n.pool.Engine.TokensPerEvent))
 	}
 	return w
 }
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -76,3 +76,15 @@
 	}
 	return r.Arrived.Add(wait)
 }
+
+// likelyOutput returns the output length that few outputs exceed, and a margin in tokens, but at most the maximum.
+func (g *Generation) likelyOutput(margin int) int {
+	output := g.MaxOutputTokens
+	if g.LengthHint > 0 {
+		likely := int(lengthHintFactor*float64(g.LengthHint)) + margin
+		if output <= 0 || likely < output {
+			output = likely
+		}
+	}
+	return output
+}
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"gooseberrypin.example/router/speed"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -46,6 +47,13 @@
 		Priority int
 		// Resumed reports whether the caller has already received a part of the answer.
 		Resumed bool
+		// OutputTokens is the likely length of the output, and Startup the expected time from a grant to the first event.
+		OutputTokens int
+		Startup      time.Duration
+		// Deadline is when the caller stops waiting for the end of the stream. MaxTokenTime is the longest time per token
+		// with which the pauses between events meet their target. Both are zero if there is no bound.
+		Deadline     time.Time
+		MaxTokenTime time.Duration
 		// Avoid is the ID of an upstream where this generation failed. It is not chosen unless it is the pool's only one.
 		Avoid string
 	}
@@ -73,6 +81,8 @@
 		recheckInterval time.Duration
 		random          *rand.Rand
 		entries         func() int
+		speeds          func() *speed.View
+		memoryTokens    int
 
 		mu      sync.Mutex
 		waiting []*ticket
@@ -105,17 +115,6 @@
 		grant   Grant
 		granted bool
 	}
-
-	// engineMemory caches the outcomes of the attempts at one engine.
-	engineMemory struct {
-		// reserving reports whether an attempt is in flight. There is at most one for each engine.
-		reserving bool
-		// refusedTokens is the smallest request that the engine refused. Requests of that size or more are not
-		// sent before retryAt. Zero means that none was refused; after a failed attempt it is 1, so that
-		// requests of all sizes wait.
-		refusedTokens int
-		retryAt       time.Time
-	}
 )
 
 // NewQueue returns an empty queue. members returns the decode engines that accept work.
@@ -127,6 +126,7 @@
 		recheckInterval: defaultRecheckInterval,
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		entries:         func() int { return 1 },
+		speeds:          func() *speed.View { return nil },
 		engines:         make(map[string]*engineMemory),
 	}
 	for _, opt := range opts {
@@ -188,7 +188,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if engine, found := q.engines[id]; found {
-		engine.refusedTokens = 0
+		engine.refusedTokens, engine.fullTokens = 0, 0
+		engine.freedUntil = time.Now().Add(freedTime)
 	}
 	q.schedule(time.Now())
 }
@@ -249,16 +250,16 @@
 
 // choose returns the engine with the fewest tokens in use by this process among those that may have enough
 // free memory, or nil. Ties are broken at random: with many entries, each one uses no memory at most engines,
-// so a fixed order would send the attempts of all entries to the same engine.
+// so a fixed order would send the attempts of all entries to the same engine. Where engines differ in speed, it chooses by
+// speed.
 func (q *Queue) choose(t *ticket, members []*upstream.Member, now time.Time) *upstream.Member {
+	if speeds := q.speeds(); speeds.Uneven() {
+		return q.chooseBySpeed(t, members, speeds, now)
+	}
 	var best *upstream.Member
 	leastTokens, ties := 0, 0
 	for _, m := range members {
-		engine := q.engineMemory(m.ID)
-		if engine.reserving || m.ID == t.Avoid && len(members) > 1 {
-			continue
-		}
-		if engine.refusedTokens > 0 && t.Tokens >= engine.refusedTokens && now.Before(engine.retryAt) {
+		if !q.mayHaveMemory(t, m, len(members), now) {
 			continue
 		}
 		switch usedTokens := m.Load().Tokens; {
@@ -274,31 +275,6 @@
 	return best
 }
 
-func (q *Queue) engineMemory(id string) *engineMemory {
-	engine, found := q.engines[id]
-	if !found {
-		engine = &engineMemory{}
-		q.engines[id] = engine
-	}
-	return engine
-}
-
-// pruneEngines removes the cached outcomes of engines that left the pool.
-func (q *Queue) pruneEngines(members []*upstream.Member) {
-	if len(q.engines) <= len(members) {
-		return
-	}
-	present := make(map[string]bool, len(members))
-	for _, m := range members {
-		present[m.ID] = true
-	}
-	for id, engine := range q.engines {
-		if !present[id] && !engine.reserving {
-			delete(q.engines, id)
-		}
-	}
-}
-
 // startReservation starts an attempt at an engine in the background.
 func (q *Queue) startReservation(t *ticket, m *upstream.Member, now time.Time) {
 	if t.class(now) == late {
@@ -324,9 +300,10 @@
 	t.reserving = false
 	engine := q.engineMemory(m.ID)
 	engine.reserving = false
+	engine.freedUntil = time.Time{}
 	switch o := outcome.(type) {
 	case Reserved:
-		engine.refusedTokens = 0
+		engine.refusedTokens, engine.fullTokens = 0, 0
 		if t.ctx.Err() != nil {
 			q.release(m, o.ID)
 			return
@@ -339,6 +316,7 @@
 			engine.refusedTokens = t.Tokens
 		}
 		engine.retryAt = now.Add(q.recheckInterval)
+		q.recordFull(engine, t, m, now)
 	case Limited:
 		engine.refusedTokens, engine.retryAt = 1, now.Add(o.RetryAfter)
 	case Failed:
