Pace: limit the work in flight at upstreams by how they answer

A server that has just recovered was either flooded or left idle. router/pace holds a limit for each upstream on the work of all entries: it rises while answers arrive in time and the limit is used, and falls when the smoothed time exceeds that of answers without a queue by more than their usual deviation, or when answers fail. Entries share their estimates by gossip (14 bytes each, at most 16 in a message) and use the weighted mean, so that they do not raise the limit together; a new upstream starts from 0.85 of the median of its pool. Requests to plain services beyond the limits wait for a quarter of the latency target and are then refused without having run; prompts only move to other engines. Off unless the setting pace.enabled is true.

--- a/router/adapter/member/member.go
+++ b/router/adapter/member/member.go
@@ -81,12 +81,17 @@
 
 func toMessage(update membership.Update) *fleetv1.News {
 	m := &fleetv1.News{Members: toMessages(update.Members), Suspects: wire.FromSuspects(update.Suspects), Ejected: update.Ejected, Limits: toLimits(update.Limits)}
+	appendReports(m, update.Reports, time.Now())
 	appendSpeeds(m, update.Speeds, time.Now())
 	return m
 }
 
 func fromMessage(m *fleetv1.News) membership.Update {
-	return membership.Update{Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected(), Limits: fromLimits(m.GetLimits()), Speeds: speedsOf(m, time.Now())}
+	now := time.Now()
+	return membership.Update{
+		Members: fromMessages(m.GetMembers()), Suspects: wire.ToSuspects(m.GetSuspects()), Ejected: m.GetEjected(),
+		Limits: fromLimits(m.GetLimits()), Reports: reportsOf(m, now), Speeds: speedsOf(m, now),
+	}
 }
 
 func toMessages(members []membership.Member) []*fleetv1.Member {
--- a/router/adapter/member/speed_test.go
+++ b/router/adapter/member/speed_test.go
@@ -9,6 +9,7 @@
 
 	fleetv1 "gooseberrypin.example/gen/fleet/v1"
 	"gooseberrypin.example/router/membership"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/speed"
 )
 
@@ -43,7 +44,7 @@
 	update := largestUpdate()
 	is.True(len(exchanged(t, update).Speeds) >= 16)
 	is.Equal(len(exchanged(t, membership.Update{Speeds: update.Speeds}).Speeds), speed.MaxShared)
-	is.True(proto.Size(toMessage(membership.Update{Speeds: update.Speeds})) <= speedsOverhead+speed.MaxShared*sampleBytes)
+	is.True(proto.Size(toMessage(membership.Update{Speeds: update.Speeds})) <= fieldOverhead+speed.MaxShared*sampleBytes)
 }
 
 // Any bytes from another process decode to a bounded number of samples that are not from the future.
@@ -58,6 +59,9 @@
 		}
 		now := time.Now()
 		samples := speedsOf(&m, now)
+		if reports := reportsOf(&m, now); len(reports) > pace.MaxShared {
+			t.Errorf("%d reports", len(reports))
+		}
 		if len(samples) > speed.MaxShared {
 			t.Errorf("%d samples", len(samples))
 		}
--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -73,4 +73,8 @@
 	UpstreamSlow = Event{Number: 6070, Text: "upstream slow"}
 	// UpstreamNormal is logged when an engine that was judged to be slow is as fast as others of its pool again.
 	UpstreamNormal = Event{Number: 6071, Text: "upstream no longer slow"}
+	// PaceFell is logged when the limit on the work in flight at an upstream has fallen by half.
+	PaceFell = Event{Number: 6072, Text: "limit on work in flight fell"}
+	// PaceRecovered is logged when such a limit has recovered.
+	PaceRecovered = Event{Number: 6073, Text: "limit on work in flight recovered"}
 )
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -153,14 +153,17 @@
 		ar.recordAnswered(c.attempt)
 		if !cancelled {
 			c.member.Succeeded(c.took)
+			ar.gateway.pace.Answered(c.member, 1, c.took, time.Now())
 		}
 	case NotRun:
 		if !cancelled {
+			ar.gateway.pace.Failed(c.member, time.Now())
 			ar.gateway.recordFailure(c.member, r.Reason, r.Err)
 		}
 	case Unknown:
 		ar.recordUnknown(ctx, c.attempt, c.member, r.ConnectionLost)
 		if !cancelled {
+			ar.gateway.pace.Failed(c.member, time.Now())
 			ar.logLostAnswer(c.member, c.reason, r.Err)
 			ar.gateway.recordLostAnswer(c.member, r.Err)
 		}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
@@ -59,6 +60,8 @@
 		quota          Quota
 		// speeds holds the learned speeds of engines; nil if they are not learned.
 		speeds *speed.Table
+		// pace limits the work in flight at upstreams; nil if it is not limited.
+		pace *pace.Limiter
 
 		mu       sync.Mutex
 		random   *rand.Rand
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -35,7 +35,7 @@
 	tried := make(map[string]bool)
 	for prefills := 0; prefills < maxPrefills; {
 		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
-		m := n.gateway.pick(n.prefillChooser(), members, grant.Member.DataCentre, tried)
+		m := n.gateway.pick(n.prefillChooser(), n.pacedPrefills(members), grant.Member.DataCentre, tried)
 		if m == nil || prefills > 0 && !n.reserveRetries(1) {
 			// Without a prefill engine, the decode engine prefills the prompt itself.
 			return nil, true
@@ -92,6 +92,7 @@
 		m.Succeeded(time.Since(began))
 		n.poolState.estimates.recordPrefill(tokens, time.Since(began))
 		n.gateway.recordSpeed(m, tokens, time.Since(began))
+		n.gateway.pace.Answered(m, tokens, time.Since(began), time.Now())
 		if n.prefillAccepted {
 			n.countEngineRequest()
 		}
@@ -103,6 +104,7 @@
 		}
 		if ctx.Err() == nil {
 			n.recordFailure(m, Prefill, r.Reason, r.Err)
+			n.gateway.pace.Failed(m, time.Now())
 			if r.Reason == NoAnswer && !r.ConnectionLost {
 				// The engine would have taken at least as long.
 				n.gateway.recordSpeed(m, tokens, time.Since(began))
--- a/router/gateway/quota.go
+++ b/router/gateway/quota.go
@@ -30,11 +30,15 @@
 // RetryAfter implements Quota.
 func (unlimited) RetryAfter(string) time.Duration { return 0 }
 
-// acquireService picks a plain service that was not tried, has not asked for a pause, and whose limit allows the request. If
+// acquireService picks a plain service that was not tried, has not asked for a pause, and whose limits allow the request. If
 // there is none, it returns nil and the time until the first one may take a request again. If there is no service left, it
 // returns nil and 0.
 func (ar *activeRequest) acquireService(ctx context.Context, tried map[string]bool) (*upstream.Member, time.Duration) {
 	members, retryAfter := ar.gateway.services(ar.pool.Name)
+	members, below := ar.withinPace(ctx, members)
+	if !below {
+		return nil, fullRetryAfter
+	}
 	excluded, copied := tried, false
 	for {
 		m := ar.gateway.pick(chooseService, members, ar.gateway.dataCentre, excluded)
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/periodic"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
@@ -62,6 +63,8 @@
 		Ejected []string
 		// Limits are the limits of upstreams that the sender knows.
 		Limits []quota.Limit
+		// Reports are estimates of the limits on the work in flight at upstreams, the newest first.
+		Reports []pace.Report
 		// Speeds are samples of the speeds of engines, the most useful first. A message with much else holds fewer of them.
 		Speeds []speed.Sample
 	}
