--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -14,10 +14,12 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
 	"gooseberrypin.example/router/revocation"
+	"gooseberrypin.example/router/speed"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -59,6 +61,10 @@
 		quota          Quota
 		customerQuota  CustomerQuota
 		checkKeys      KeyCheck
+		// speeds holds the learned speeds of engines; nil if they are not learned.
+		speeds *speed.Table
+		// pace limits the work in flight at upstreams; nil if it is not limited.
+		pace *pace.Limiter
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -242,12 +248,18 @@
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
+	decodeSpeeds := func() *speed.View { return g.speedsOf(p.Name, upstream.PhaseDecode) }
+	memoryTokens := 0
+	if p.Engine != nil {
+		memoryTokens = p.Engine.KVTokens
+	}
 	life := reservationLife(p)
 	reserve := func(ctx context.Context, m *upstream.Member, tokens int) reservation.Outcome {
 		return g.reserve(ctx, m, tokens, life)
 	}
 	s.memoryQueue = reservation.NewQueue(reserve, g.upstreams.FreeReservation, decodeEngines,
-		reservation.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), reservation.WithEntries(g.entries))
+		reservation.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), reservation.WithEntries(g.entries),
+		reservation.WithSpeeds(decodeSpeeds, memoryTokens))
 	g.pools[p.Name] = s
 	return s
 }
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -11,10 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/periodic"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/rendezvous"
+	"gooseberrypin.example/router/speed"
 )
 
 const (
@@ -61,6 +63,10 @@
 		Ejected []string
 		// Limits are the limits of upstreams that the sender knows.
 		Limits []quota.Limit
+		// Reports are estimates of the limits on the work in flight at upstreams, the newest first.
+		Reports []pace.Report
+		// Speeds are samples of the speeds of engines, the most useful first. A message with much else holds fewer of them.
+		Speeds []speed.Sample
 	}
 
 	// Peers sends updates to other entries.
