--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -11,10 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/event"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/periodic"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/rendezvous"
+	"gooseberrypin.example/router/speed"
 )
 
 const (
@@ -61,6 +63,10 @@
 		Ejected []string
 		// Limits are the limits of upstreams that the sender knows.
 		Limits []quota.Limit
+		// Reports are estimates of the limits on the work in flight at upstreams, the newest first.
+		Reports []pace.Report
+		// Speeds are samples of the speeds of engines, the most useful first. A message with much else holds fewer of them.
+		Speeds []speed.Sample
 	}
 
 	// Peers sends updates to other entries.
@@ -280,6 +286,16 @@
 // the same live members choose the same owner. An entry that leaves owns nothing, nor does one that has seeds and has
 // not reached any other entry. Owner returns the empty string if there is no owner.
 func (g *Group) Owner(name string) string {
+	return rendezvous.Winner(name, g.ownerCandidates())
+}
+
+// Owners returns the owner of a name, followed by the entries that would own it next, at most n.
+func (g *Group) Owners(name string, n int) []string {
+	return rendezvous.Rank(name, g.ownerCandidates(), n)
+}
+
+// ownerCandidates returns the addresses of the entries that may own a name.
+func (g *Group) ownerCandidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	timeout, now := g.scaledHeartbeatTimeout(), time.Now()
@@ -292,7 +308,7 @@
 			candidates = append(candidates, r.Address)
 		}
 	}
-	return rendezvous.Winner(name, candidates)
+	return candidates
 }
 
 // scaledHeartbeatTimeout returns heartbeatTimeout, extended for fleets in which an exchange carries only a
