Gateway: test that memory is granted in the order of customers

A less urgent customer's generation that has waited longer, on a more urgent route, must not receive decode memory first. With the route's priority alone in the queue, the test fails.

--- a/router/gateway/identity_test.go
+++ b/router/gateway/identity_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/revocation"
 	"gooseberrypin.example/router/upstream"
 )
@@ -187,6 +189,40 @@
 	})
 }
 
+// A generation of a more urgent customer receives decode memory before one that has waited longer on a more urgent route.
+func TestMemoryIsGrantedInTheOrderOfCustomers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		free := time.Now().Add(100 * time.Millisecond)
+		reserved := false
+		var mu sync.Mutex
+		f := &fakeUpstreams{reserve: func(id string, _ int) reservation.Outcome {
+			mu.Lock()
+			defer mu.Unlock()
+			if reserved || time.Now().Before(free) {
+				return reservation.Full{}
+			}
+			reserved = true
+			return reservation.Reserved{ID: id}
+		}}
+		rules, d := &ingress.Store{}, upstream.NewDirectory()
+		c := customerRules(1, ingress.Streaming{}, keyed("first", "k1", 0), keyed("second", "k2", 1))
+		c.Routes[1].Prefix, c.Routes[1].Priority = "/low/", 9
+		rules.Put(c)
+		d.Put(upstream.Upstream{ID: "g1", Pool: "desk", Phase: upstream.PhaseDecode, Slots: 4})
+		g := gateway.New(rules, d, f)
+		var callers sync.WaitGroup
+		for _, r := range []*gateway.Request{withKey("/x", "k2"), withKey("/low/x", "k1")} {
+			r.Generation = &gateway.Generation{PromptTokens: 1000, MaxOutputTokens: 100}
+			callers.Go(func() { g.Serve(t.Context(), r, &recordedReply{}) })
+			time.Sleep(20 * time.Millisecond)
+		}
+		callers.Wait()
+		is.Equal(f.identities, []gateway.Identity{{InForce: true, Customer: "first"}})
+		synctest.Wait()
+	})
+}
+
 // From the ID of a refused request, an operator finds the cause, the version of the keys and a digest by which keys are told
 // apart. The key itself is in no line.
 func TestRefusalIsLoggedWithTheDigestOfTheKey(t *testing.T) {
