Member: shorter messages about the quotas of customers

Cause: the allocator of a fleet exchanges up to 62 reports a second, of 3.2 KB with their answers at 16 customers. Change: amounts are lists without names; an answer has the order of the report.

--- a/router/adapter/member/customer.go
+++ b/router/adapter/member/customer.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/adapter/fleet"
+	"gooseberrypin.example/router/adapter/wire"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/quota"
 )
@@ -18,6 +19,8 @@
 const (
 	// CustomerQuotaPath is the path of reports about the quotas of customers.
 	CustomerQuotaPath = "/customer-quotas"
+	// maxReportInterval bounds what an answer may state.
+	maxReportInterval = time.Minute
 )
 
 var (
@@ -30,6 +33,35 @@
 		allocator *quota.Allocator
 		log       event.Log
 	}
+
+	// reportMessage is a quota.CustomerReport as JSON. Amounts are in lists without names, as the allocator of a fleet
+	// exchanges 62 reports a second.
+	reportMessage struct {
+		Entry     string `json:"entry"`
+		Process   int64  `json:"process"`
+		Number    int64  `json:"number"`
+		Applied   int64  `json:"applied"`
+		Allocator int64  `json:"allocator"`
+		Early     bool   `json:"early,omitempty"`
+		// Names are the customers of Uses.
+		Names []string     `json:"names"`
+		Uses  []useMessage `json:"uses"`
+	}
+
+	// useMessage is held, returned, want, demand and granted of a quota.CustomerUse.
+	useMessage [5]float64
+
+	// answerMessage is a quota.CustomerAnswer as JSON. Shares has an item for each customer of the report, or null.
+	answerMessage struct {
+		Allocator  int64           `json:"allocator"`
+		IntervalMS int64           `json:"interval_ms"`
+		EarlyGapMS int64           `json:"early_gap_ms"`
+		Shares     []*shareMessage `json:"shares"`
+	}
+
+	// shareMessage is grant, target, debt, per_second, short (0 or 1), available, demand and granted of a
+	// quota.CustomerShare.
+	shareMessage [8]float64
 )
 
 // NewCustomerQuotaHandler returns the HTTP handler of an allocator.
@@ -40,27 +72,21 @@
 // ServeHTTP implements http.Handler. It answers 503 when the allocator has no configuration, and for a report that arrives
 // late.
 func (h *CustomerQuotaHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var report quota.CustomerReport
-	if err := json.NewDecoder(r.Body).Decode(&report); err != nil || report.Entry == "" {
-		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", report.Entry)
+	var m reportMessage
+	err := json.NewDecoder(r.Body).Decode(&m)
+	if err != nil || m.Entry == "" {
+		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", m.Entry)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	for i := range report.Customers {
-		u := &report.Customers[i]
-		u.Returned, u.Want, u.Demand = max(0, u.Returned), max(0, u.Want), max(0, u.Demand)
-	}
-	answer, ok := h.allocator.Report(report)
+	answer, ok := h.allocator.Report(m.report())
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	for i := range answer.Customers {
-		roundShare(&answer.Customers[i])
-	}
-	content, err := json.Marshal(answer)
+	content, err := json.Marshal(newAnswerMessage(answer, m.Names))
 	if err != nil {
-		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", report.Entry)
+		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", m.Entry)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
@@ -71,43 +97,99 @@
 // Report implements quota.CustomerPeers. It returns an error when the entry can't be reached, takes no report or its
 // response is invalid.
 func (c *Client) Report(ctx context.Context, address string, r quota.CustomerReport) (quota.CustomerAnswer, error) {
-	var answer quota.CustomerAnswer
-	for i := range r.Customers {
-		u := &r.Customers[i]
-		u.Demand, u.Granted = round(u.Demand), round(u.Granted)
-	}
-	content, err := json.Marshal(r)
+	m := newReportMessage(r)
+	content, err := json.Marshal(m)
 	if err != nil {
-		return answer, eris.Wrap(err, "encode the report")
+		return quota.CustomerAnswer{}, eris.Wrap(err, "encode the report")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fleet.URL(address)+CustomerQuotaPath, bytes.NewReader(content))
 	if err != nil {
-		return answer, eris.Wrapf(err, "entry %s", address)
+		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return answer, eris.Wrapf(err, "entry %s", address)
+		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
 	}
 	// An error of closing a body that was read says nothing.
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return answer, eris.Wrapf(errNotTaken, "entry %s, status %d", address, response.StatusCode)
+		return quota.CustomerAnswer{}, eris.Wrapf(errNotTaken, "entry %s, status %d", address, response.StatusCode)
 	}
+	var answer answerMessage
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
 	}
-	answer.Interval, answer.EarlyGap = min(max(0, answer.Interval), time.Minute), min(max(0, answer.EarlyGap), time.Minute)
-	for i := range answer.Customers {
-		s := &answer.Customers[i]
-		s.Grant, s.Target, s.Debt = max(0, s.Grant), max(0, s.Target), max(0, s.Debt)
+	return answer.answer(m.Names), nil
+}
+
+func newReportMessage(r quota.CustomerReport) reportMessage {
+	m := reportMessage{
+		Entry: r.Entry, Process: r.Process, Number: r.Number, Applied: r.Applied, Allocator: r.Allocator, Early: r.Early,
+		Names: make([]string, len(r.Customers)), Uses: make([]useMessage, len(r.Customers)),
+	}
+	for i, u := range r.Customers {
+		m.Names[i] = u.Name
+		m.Uses[i] = useMessage{u.Held, u.Returned, u.Want, round(u.Demand), round(u.Granted)}
+	}
+	return m
+}
+
+// report returns the report of a message. Only what is held may be negative.
+func (m *reportMessage) report() quota.CustomerReport {
+	r := quota.CustomerReport{
+		Entry: m.Entry, Process: m.Process, Number: m.Number, Applied: m.Applied, Allocator: m.Allocator, Early: m.Early,
+		Customers: make([]quota.CustomerUse, 0, len(m.Uses)),
+	}
+	for i, u := range m.Uses[:min(len(m.Uses), len(m.Names))] {
+		r.Customers = append(r.Customers, quota.CustomerUse{
+			Name: m.Names[i], Held: u[0], Returned: max(0, u[1]), Want: max(0, u[2]), Demand: max(0, u[3]), Granted: u[4],
+		})
 	}
-	return answer, nil
+	return r
 }
 
-// roundShare rounds what needs no precision, which shortens an answer. Grants stay exact.
-func roundShare(s *quota.CustomerShare) {
-	s.Target, s.Debt, s.PerSecond = round(s.Target), round(s.Debt), round(s.PerSecond)
-	s.Available, s.Demand, s.Granted = round(s.Available), round(s.Demand), round(s.Granted)
+// newAnswerMessage returns the message of the answer to a report about customers.
+func newAnswerMessage(a quota.CustomerAnswer, names []string) answerMessage {
+	m := answerMessage{
+		Allocator: a.Allocator, IntervalMS: a.Interval.Milliseconds(), EarlyGapMS: a.EarlyGap.Milliseconds(),
+		Shares: make([]*shareMessage, len(names)),
+	}
+	index := 0
+	for _, s := range a.Customers {
+		// The answer has the order of the report, without the customers that the allocator does not know.
+		for names[index] != s.Name {
+			index++
+		}
+		short := 0.0
+		if s.Short {
+			short = 1
+		}
+		m.Shares[index] = &shareMessage{
+			s.Grant, round(s.Target), round(s.Debt), round(s.PerSecond), short, round(s.Available), round(s.Demand), round(s.Granted),
+		}
+		index++
+	}
+	return m
+}
+
+// answer returns the answer of a message to a report about customers.
+func (m *answerMessage) answer(names []string) quota.CustomerAnswer {
+	a := quota.CustomerAnswer{
+		Allocator: m.Allocator,
+		Interval:  min(max(0, wire.Milliseconds(m.IntervalMS)), maxReportInterval),
+		EarlyGap:  min(max(0, wire.Milliseconds(m.EarlyGapMS)), maxReportInterval),
+		Customers: make([]quota.CustomerShare, 0, len(m.Shares)),
+	}
+	for i, s := range m.Shares[:min(len(m.Shares), len(names))] {
+		if s == nil {
+			continue
+		}
+		a.Customers = append(a.Customers, quota.CustomerShare{
+			Name: names[i], Grant: max(0, s[0]), Target: max(0, s[1]), Debt: max(0, s[2]), PerSecond: max(0, s[3]), Short: s[4] != 0,
+			Available: s[5], Demand: s[6], Granted: s[7],
+		})
+	}
+	return a
 }
 
 // round rounds to whole units from 100 on, and to tenths below.
--- a/router/quota/customer.go
+++ b/router/quota/customer.go
@@ -39,11 +39,11 @@
 
 	// CustomerLoad is the load of a customer at all entries together, in its unit a second.
 	CustomerLoad struct {
-		Name string `json:"name"`
+		Name string
 		// Demand is what callers ask for, refused requests included.
-		Demand float64 `json:"demand"`
+		Demand float64
 		// Granted is what was granted to requests.
-		Granted float64 `json:"granted"`
+		Granted float64
 	}
 
 	// CustomerState is what an entry has of a customer's quota, for the state dump. Rates are in units a second.
@@ -67,60 +67,60 @@
 	// CustomerReport is the report of an entry to the allocator of the fleet.
 	CustomerReport struct {
 		// Entry is the address of the entry, and Process identifies its process.
-		Entry   string `json:"entry"`
-		Process int64  `json:"process"`
+		Entry   string
+		Process int64
 		// Number increases with each report of the process. Applied is the number of the last one whose answer it applied.
-		Number  int64 `json:"number"`
-		Applied int64 `json:"applied"`
+		Number  int64
+		Applied int64
 		// Allocator identifies the process whose grants the entry holds; 0 for none.
-		Allocator int64 `json:"allocator"`
+		Allocator int64
 		// Early is whether requests wait for the answer.
-		Early     bool          `json:"early,omitempty"`
-		Customers []CustomerUse `json:"customers"`
+		Early     bool
+		Customers []CustomerUse
 	}
 
 	// CustomerUse is what one entry holds and needs of a customer's quota.
 	CustomerUse struct {
-		Name string `json:"name"`
+		Name string
 		// Held is the amount that the entry may still grant; negative after requests that exceeded it.
-		Held float64 `json:"held"`
+		Held float64
 		// Returned is the amount that the entry gives back with this report.
-		Returned float64 `json:"returned,omitempty"`
+		Returned float64
 		// Want is the amount that waiting requests need in total.
-		Want float64 `json:"want,omitempty"`
+		Want float64
 		// Demand and Granted are what callers asked for and got at this entry, in units a second.
-		Demand  float64 `json:"demand,omitempty"`
-		Granted float64 `json:"granted,omitempty"`
+		Demand  float64
+		Granted float64
 	}
 
 	// CustomerAnswer is the allocator's answer to a report.
 	CustomerAnswer struct {
 		// Allocator identifies the process that answers.
-		Allocator int64 `json:"allocator"`
+		Allocator int64
 		// Interval is the time until the next report, and EarlyGap the least time until one for which requests wait.
-		Interval  time.Duration   `json:"interval_ns"`
-		EarlyGap  time.Duration   `json:"early_gap_ns"`
-		Customers []CustomerShare `json:"customers"`
+		Interval  time.Duration
+		EarlyGap  time.Duration
+		Customers []CustomerShare
 	}
 
 	// CustomerShare is what the allocator answers about one customer.
 	CustomerShare struct {
-		Name string `json:"name"`
+		Name string
 		// Grant is the amount that the entry may grant in addition.
-		Grant float64 `json:"grant,omitempty"`
+		Grant float64
 		// Target is the amount that the entry should hold. It gives back more than that.
-		Target float64 `json:"target"`
+		Target float64
 		// Debt is the amount by which the entry may exceed what it holds.
-		Debt float64 `json:"debt"`
+		Debt float64
 		// PerSecond is the rate at which the entry may expect further grants.
-		PerSecond float64 `json:"per_second"`
+		PerSecond float64
 		// Short is whether the quota had less left than the entry needs.
-		Short bool `json:"short,omitempty"`
+		Short bool
 		// Available is what all entries together may spend now.
-		Available float64 `json:"available"`
+		Available float64
 		// Demand and Granted are the sums over all entries, in units a second.
-		Demand  float64 `json:"demand"`
-		Granted float64 `json:"granted"`
+		Demand  float64
+		Granted float64
 	}
 
 	// division is how the bound of a customer is divided over its uses. All entries together spend at most
--- a/router/quota/customer_fleet_test.go
+++ b/router/quota/customer_fleet_test.go
@@ -157,6 +157,9 @@
 		e.kill()
 	}
 	time.Sleep(time.Second)
+	// The caller reads what the goroutines that have ended wrote under the lock.
+	f.mu.Lock()
+	defer f.mu.Unlock()
 }
 
 // allocatorEntry returns the entry that divides the quotas of customers.
