Quarantine: blame a part whose answer has begun

Cause: a crash counted only against requests without an event, if there was one at the engine. Where a start takes 100 to 300 ms there nearly always is one, and these requests share the first part, while the part at fault has had one event. Ten requests at once so blocked the whole route, and single ones were never blocked. Change: requests whose first event came at most 250 ms before the crash are suspected as those without one are; then all others, with one crash more; parts that were answered come last, and crashes that come together count once for them on all entries. Parts that can't be told apart are blocked together and reported as one. Entries tell each other which parts are common. What ran at a crashed engine is recorded in one step.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -41,7 +41,7 @@
 
 // RecordSuccess implements generation.Crashes.
 func (c *crashes) RecordSuccess(fingerprint string) {
-	c.table.Clear(quarantine.Content{Name: fingerprint}, time.Now())
+	c.table.Clear([]quarantine.Content{{Name: fingerprint}}, time.Now())
 }
 
 // check returns a refusal for quarantined content, and nil for other content.
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -217,6 +217,12 @@
 	return g.crashes.table.Urgent(now, maxSuspectsShared)
 }
 
+// SharedSuspects returns what other entries are told of contents, in bounded size: the suspects, and some parts of prompts
+// that engines have answered.
+func (g *Gateway) SharedSuspects(now time.Time) []quarantine.Suspect {
+	return g.crashes.table.Shared(now, maxSuspectsShared)
+}
+
 // MergeSuspects merges the suspects of another entry, whose address is from. It reports whether they contain
 // new evidence against a content.
 func (g *Gateway) MergeSuspects(suspects []quarantine.Suspect, from string, now time.Time) bool {
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -29,6 +29,9 @@
 	// maxUnnumbered bounds the consecutive events without a number. Engines send few of them, as comments
 	// that keep a connection alive.
 	maxUnnumbered = 16
+	// beginningTime is how long after its first event an answer counts as just begun, when an engine crashes: engines that
+	// crash as they begin to answer may have sent some events, and a busy process reads the end of a connection late.
+	beginningTime = 250 * time.Millisecond
 )
 
 type (
@@ -50,8 +53,8 @@
 		unnumbered int
 		// awaitsNumber is whether the current answer continues a stream and has sent no numbered event.
 		awaitsNumber bool
-		// received counts the numbered events that were received from all engines.
-		received int
+		// answerBeganAt is when the current engine sent its first numbered event; zero if it has sent none.
+		answerBeganAt time.Time
 	}
 )
 
@@ -77,10 +80,10 @@
 	if a.Status != http.StatusOK {
 		return n.relayEngineError(ctx, m, t, a)
 	}
-	before, receivedBefore := n.record.Events, n.relay.received
+	before := n.record.Events
 	began := time.Now()
 	err := n.relay.forward(ctx, a, n.stallMonitor)
-	t.Begun = n.relay.received > receivedBefore
+	t.Begun = !n.relay.answerBeganAt.IsZero() && time.Since(n.relay.answerBeganAt) > beginningTime
 	if events := n.record.Events - before; events > 0 {
 		if before == 0 {
 			n.poolState.estimates.recordStartup(n.relay.firstEventAt.Sub(granted))
@@ -120,7 +123,7 @@
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
-	r.awaitsNumber = r.headSent
+	r.awaitsNumber, r.answerBeganAt = r.headSent, time.Time{}
 	switch {
 	case !r.headSent:
 		r.headSent, r.mediaType = true, mediaType
@@ -176,7 +179,9 @@
 	}
 	if e.HasID {
 		r.unnumbered, r.awaitsNumber = 0, false
-		r.received++
+		if r.answerBeganAt.IsZero() {
+			r.answerBeganAt = time.Now()
+		}
 		switch {
 		case r.hasLast && e.ID <= r.lastID:
 			return nil
--- a/router/quarantine/attribution_test.go
+++ b/router/quarantine/attribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,16 +42,23 @@
 	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
 	switch s := step.(type) {
 	case run:
-		for _, c := range partsOf(s.parts) {
-			table.RecordCrash(c, quarantine.Crash{Upstream: s.upstream, SentAt: at(s.sentAt), Proven: !s.unproven, Begun: s.begun}, at(s.sentAt+10))
-		}
+		table.RecordCrash(partsOf(s.parts), quarantine.Crash{Upstream: s.upstream, SentAt: at(s.sentAt), Proven: !s.unproven, Begun: s.begun}, at(s.sentAt+10))
 	case answer:
-		for _, c := range partsOf(s.parts) {
-			table.Clear(c, at(0))
-		}
+		table.Clear(partsOf(s.parts), at(0))
 	}
 }
 
+// underWay returns a number of crashes, each of an upstream with one request with the part x whose answer is under way, and
+// another one that waits for its answer. Both have the part p.
+func underWay(crashes int) []any {
+	var steps []any
+	for n := range crashes {
+		upstream := fmt.Sprintf("u%d", n)
+		steps = append(steps, run{upstream, "p x", true, false, 100 * n}, run{upstream, "p", false, false, 100 * n})
+	}
+	return steps
+}
+
 func TestPartIsQuarantinedByTheCrashesThatItExplains(t *testing.T) {
 	tests := map[string]struct {
 		steps               []any
@@ -81,6 +89,16 @@
 			answer{"x"}, run{"a", "u x", false, false, 0}, run{"b", "v x", false, false, 50}, run{"c", "w x", false, false, 100}, run{"d", "m x", false, false, 150},
 			run{"e", "n x", false, false, 200}, run{"f", "o x", false, false, 250},
 		}, []string{"x"}, []string{"u", "v"}},
+		"three answers under way beside requests that wait": {slices.Concat([]any{answer{"p"}}, underWay(3)), nil, []string{"x", "p"}},
+		"four answers under way beside requests that wait":  {slices.Concat([]any{answer{"p"}}, underWay(4)), []string{"x", "p x"}, []string{"p"}},
+		"one report of two parts is missing":                {[]any{run{"a", "y x", false, false, 0}, run{"b", "y x", false, false, 100}, run{"c", "y", false, false, 200}}, []string{"y x", "x z y"}, []string{"x", "y"}},
+		"all reports of a part but one agree": {[]any{
+			run{"a", "y x", false, false, 0}, run{"b", "y x", false, false, 100}, run{"c", "y", false, false, 200}, run{"d", "y", false, false, 300},
+		}, []string{"y"}, []string{"x"}},
+		"an answered part at upstreams that crash together": {[]any{
+			answer{"p"}, run{"a", "p", false, false, 0}, run{"b", "p", false, false, 0}, run{"c", "p", false, false, 0}, run{"d", "p", false, false, 0},
+			run{"e", "p", false, false, 0}, run{"f", "p", false, false, 0}, run{"g", "p", false, false, 0},
+		}, nil, []string{"p"}},
 		"crashes before and after an answer": {[]any{run{"a", "x", false, false, 0}, run{"b", "x", false, false, 100}, answer{"x"}, run{"c", "x", false, false, 200}}, nil, []string{"x"}},
 	}
 	for name, tt := range tests {
@@ -114,17 +132,25 @@
 			tables[i] = quarantine.NewTable(quarantine.WithClearQuarantined())
 		}
 		parts := []string{"a", "b", "c", "d"}
-		for n := range rapid.IntRange(1, 12).Draw(t, "steps") {
+		for n := range rapid.IntRange(1, 20).Draw(t, "steps") {
 			table := rapid.SampledFrom(tables).Draw(t, "table")
+			if rapid.IntRange(0, 5).Draw(t, "exchanged") == 0 {
+				at := began.Add(time.Duration(100*n) * time.Millisecond)
+				rapid.SampledFrom(tables).Draw(t, "receiver").Merge(table.Shared(at, 32), at)
+				continue
+			}
 			carried := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, 3, rapid.ID).Draw(t, "parts")
 			if rapid.IntRange(0, 9).Draw(t, "answered") == 0 {
 				apply(table, answer{strings.Join(carried, " ")}, began)
 				continue
 			}
-			upstream := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "upstream"))
-			apply(table, run{upstream: upstream, parts: strings.Join(carried, " "), sentAt: 100 * n}, began)
+			upstream := fmt.Sprintf("u%d", rapid.IntRange(0, 11).Draw(t, "upstream"))
+			begun := rapid.Bool().Draw(t, "begun")
+			// Some upstreams crash together.
+			sentAt := rapid.SampledFrom([]int{100 * n, 100 * (n - n%4)}).Draw(t, "sent at")
+			apply(table, run{upstream: upstream, parts: strings.Join(carried, " "), sentAt: sentAt, begun: begun}, began)
 		}
-		now := began.Add(2 * time.Second)
+		now := began.Add(3 * time.Second)
 		for range 3 {
 			for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
 				for _, other := range tables {
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -12,15 +13,8 @@
 const (
 	defaultTerm     = 10 * time.Minute
 	defaultCapacity = 1024
-	// mergeTolerance is the difference in expiry that Merge ignores, so that two tables do not extend each
-	// other's entries with every exchange.
-	mergeTolerance = time.Second
-	// recentFor is how long after a change Urgent includes a suspect that is not among the most urgent.
-	// Processes exchange updates several times meanwhile.
-	recentFor = 3 * time.Second
-	// maxRecent bounds the list to which Urgent adds such suspects. It holds the contents of two busy
-	// upstreams that crash together.
-	maxRecent = 512
+	// evictionFactor is how many times its capacity a table may hold while it records a crash.
+	evictionFactor = 2
 )
 
 type (
@@ -47,8 +41,8 @@
 		SentAt time.Time
 		// Proven is whether the upstream's termination was confirmed; otherwise only its connection closed.
 		Proven bool
-		// Begun is whether the answer had begun. Content that crashes upstreams mostly does so before that, so a crash
-		// is attributed to requests without an answer, if there were any.
+		// Begun is whether the answer had been under way for some time. Content that crashes upstreams mostly does so as
+		// the answer begins, so a crash is attributed to requests whose answers began then, if there were any.
 		Begun bool
 	}
 
@@ -65,7 +59,7 @@
 		Unproven []string `json:"unproven,omitempty"`
 		// Cleared are the crashes that were cleared by a complete answer.
 		Cleared []string `json:"cleared,omitempty"`
-		// Begun are the crashes before which the answer to each request with the content had begun.
+		// Begun are the crashes before which the answer to each request with the content had been under way.
 		Begun []string `json:"begun,omitempty"`
 		// Remaining is the time until the entry expires.
 		Remaining time.Duration `json:"remaining_ns"`
@@ -78,11 +72,13 @@
 		capacity          int
 		clearsQuarantined bool
 		entries           map[string]*entry
-		// answeredParts are the parts of requests with complete answers.
+		// answeredParts are the parts of requests with complete answers, and common those of them that other processes are
+		// told.
 		answeredParts recentSet
+		common        commonSet
 		// attributed is whether the entries have not changed since the last call of attribute.
 		attributed bool
-		// newlyQuarantined are the contents that became quarantined since the last call of
+		// newlyQuarantined are the labels of the contents that became quarantined since the last call of
 		// TakeNewlyQuarantined.
 		newlyQuarantined []string
 	}
@@ -144,37 +140,63 @@
 		if fingerprint == "" {
 			continue
 		}
-		t.recordCrash(Content{Name: fingerprint}, Crash{Upstream: crash, Proven: true}, now)
+		t.recordCrash(t.entry(fingerprint, now), Crash{Upstream: crash, Proven: true}, now)
 	}
+	t.evict()
 }
 
-// RecordCrash records a crash of an upstream that ran the content, and reports whether it changed the table.
+// RecordCrash records a crash of an upstream that ran a request with these contents, and reports whether it changed the
+// table.
 //
 // For content that several requests may carry at once, it ignores a crash if the content was sent before its last crash
-// at another upstream was recorded: upstreams that terminate together show no fault of the content. This does not apply
-// to a part whose answer had not begun, as few requests are in that state when an upstream crashes for another reason.
-// A part is not suspected by a crash that is unproven, as a lost link breaks off many answers.
-func (t *Table) RecordCrash(content Content, c Crash, now time.Time) bool {
+// at another upstream was recorded: upstreams that terminate together show no fault of the content. For a part, this applies
+// only if the answer was under way or an upstream has answered the part before, as few other parts are at several upstreams
+// that crash together for another reason. A part is not suspected by a crash that is unproven, as a lost link breaks off
+// many answers.
+func (t *Table) RecordCrash(contents []Content, c Crash, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if content.Part && !c.Proven {
-		return false
-	}
-	if content.Shared || content.Part && c.Begun {
-		for name, previous := range t.entry(content.Name, now).crashes {
-			if previous.state != cleared && name != c.Upstream && !previous.recordedAt.Before(c.SentAt) {
-				return false
-			}
+	defer t.evict()
+	return len(t.recordRun(contents, c, now)) > 0
+}
+
+// recordAttempts records a crash of an upstream that ran the attempts, and returns the names of the contents to which this
+// adds a crash. No decision is taken between two of the attempts: the evidence against one part of a prompt alone would
+// block another one that both have.
+func (t *Table) recordAttempts(attempts []Attempt, proven bool, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.evict()
+	var changed []string
+	for _, a := range attempts {
+		changed = append(changed, t.recordRun(a.Contents, Crash{Upstream: a.Upstream, SentAt: a.SentAt, Proven: proven, Begun: a.Begun}, now)...)
+		if len(t.entries) > evictionFactor*t.capacity {
+			t.evict()
 		}
 	}
-	return t.recordCrash(content, c, now)
+	return changed
 }
 
-func (t *Table) recordCrash(content Content, c Crash, now time.Time) bool {
-	e := t.entry(content.Name, now)
-	if content.Part {
-		t.markPart(e, false)
+// recordRun records a crash of an upstream that ran the contents, and returns the names of those to which this adds a
+// crash. The caller holds the lock and calls evict.
+func (t *Table) recordRun(contents []Content, c Crash, now time.Time) []string {
+	var changed []string
+	for _, content := range contents {
+		if content.Part && !c.Proven {
+			continue
+		}
+		e := t.entry(content.Name, now)
+		if content.Part {
+			t.markPart(e, false, now)
+		}
+		if !e.crashedTogether(content, c) && t.recordCrash(e, c, now) {
+			changed = append(changed, content.Name)
+		}
 	}
+	return changed
+}
+
+func (t *Table) recordCrash(e *entry, c Crash, now time.Time) bool {
 	if !e.addCrash(c, now) {
 		return false
 	}
@@ -183,7 +205,8 @@
 	return true
 }
 
-// TakeNewlyQuarantined returns the contents that became quarantined since the last call.
+// TakeNewlyQuarantined returns the contents that became quarantined since the last call. Parts that can't be told apart are
+// one content, with their names joined.
 func (t *Table) TakeNewlyQuarantined() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -205,28 +228,53 @@
 func (t *Table) CheckRequest(contents []Content, now time.Time) (Verdict, Content) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	carries := func(fingerprint string) bool {
-		return slices.ContainsFunc(contents, func(c Content) bool { return c.Name == fingerprint })
-	}
 	var suspect Content
+	var quarantined []Content
 	for _, c := range contents {
 		switch v := t.check(c.Name, now).(type) {
 		case Quarantined:
-			if !slices.ContainsFunc(t.entries[c.Name].companions, func(f string) bool { return !carries(f) }) {
+			if t.entries[c.Name].group == nil {
 				return v, c
 			}
-			suspect = c
+			suspect, quarantined = c, append(quarantined, c)
 		case Suspected:
 			suspect = c
 		case Free:
 		}
 	}
+	if c, found := t.findCarriedGroup(contents, quarantined); found {
+		return t.check(c.Name, now), c
+	}
 	if suspect.Name != "" {
 		return Suspected{}, suspect
 	}
 	return Free{}, Content{}
 }
 
+// findCarriedGroup returns the first of the quarantined parts of a request that carries all names of its group.
+func (t *Table) findCarriedGroup(contents, quarantined []Content) (Content, bool) {
+	if len(quarantined) == 0 {
+		return Content{}, false
+	}
+	carried := make(map[string]struct{}, len(contents))
+	for _, c := range contents {
+		carried[c.Name] = struct{}{}
+	}
+	isMissing := func(name string) bool { _, found := carried[name]; return !found }
+	seen := make(map[*group]struct{})
+	for _, c := range quarantined {
+		g := t.entries[c.Name].group
+		if _, found := seen[g]; found {
+			continue
+		}
+		seen[g] = struct{}{}
+		if !slices.ContainsFunc(g.names, isMissing) {
+			return c, true
+		}
+	}
+	return Content{}, false
+}
+
 func (t *Table) check(fingerprint string, now time.Time) Verdict {
 	t.attribute()
 	e := t.entries[fingerprint]
@@ -239,100 +287,33 @@
 	return Quarantined{Remaining: e.expires.Sub(now)}
 }
 
-// Clear frees suspected content after a complete answer. Quarantined content stays quarantined unless
-// WithClearQuarantined is set.
-func (t *Table) Clear(content Content, now time.Time) {
+// Clear frees suspected contents after a complete answer to a request with them. Quarantined content stays quarantined
+// unless WithClearQuarantined is set.
+func (t *Table) Clear(contents []Content, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if content.Part {
-		t.answeredParts.add(content.Name)
-	}
 	t.attribute()
-	e := t.entries[content.Name]
-	if e == nil || e.quarantined && !t.clearsQuarantined {
-		return
-	}
-	e.answered = e.part
-	if e.weight > 0 {
-		e.clearCrashes()
-		e.changed, t.attributed = now, false
-	}
-}
-
-// Suspects returns all entries, ordered by fingerprint.
-func (t *Table) Suspects(now time.Time) []Suspect {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.removeExpired(now)
-	list := make([]Suspect, 0, len(t.entries))
-	for _, e := range t.entries {
-		list = append(list, e.toSuspect(now))
-	}
-	slices.SortFunc(list, func(a, b Suspect) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
-	return list
-}
-
-// Urgent returns the suspects to send to other processes first: the given number of them, quarantined content
-// before suspected content and late expiry before early, and then those that changed recently, up to
-// maxRecent.
-func (t *Table) Urgent(now time.Time, most int) []Suspect {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.removeExpired(now)
-	ordered := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return b.compare(a) })
-	var list []Suspect
-	for n, e := range ordered {
-		if n < most || now.Sub(e.changed) < recentFor && len(list) < maxRecent {
-			list = append(list, e.toSuspect(now))
+	if len(contents) > 0 {
+		if drawn := contents[rand.IntN(len(contents))]; drawn.Part {
+			t.common.add(drawn.Name)
 		}
 	}
-	return list
-}
-
-// Merge adds the crashes that another table holds. A crash counts unless one of the tables has cleared it.
-// Merge reports whether any content gained weight.
-func (t *Table) Merge(suspects []Suspect, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.removeExpired(now)
-	anyNew := false
-	for _, s := range suspects {
-		if s.Remaining <= 0 {
+	for _, content := range contents {
+		if content.Part {
+			t.answeredParts.add(content.Name)
+		}
+		e := t.entries[content.Name]
+		if e == nil || e.quarantined && !t.clearsQuarantined {
 			continue
 		}
-		if e := t.entry(s.Fingerprint, now); t.merge(e, s, now) {
-			anyNew = true
+		if e.part {
+			e.markAnswered()
 		}
-	}
-	return anyNew
-}
-
-// merge adds the crashes of a suspect to its entry, and reports whether the entry gained weight.
-func (t *Table) merge(e *entry, s Suspect, now time.Time) bool {
-	weightBefore, changed := e.weight, false
-	if s.Part {
-		changed = t.markPart(e, s.Answered)
-	}
-	for reported, names := range map[crashState][]string{unproven: s.Unproven, proven: s.Crashes, cleared: s.Cleared} {
-		for _, crash := range names {
-			changed = e.setCrash(crash, reported, slices.Contains(s.Begun, crash), now) || changed
+		if e.weight > 0 {
+			e.clearCrashes()
+			e.changed, t.attributed = now, false
 		}
 	}
-	if changed {
-		e.changed, t.attributed = now, false
-	}
-	if expires := now.Add(s.Remaining); expires.Sub(e.expires) > mergeTolerance {
-		e.expires = expires
-	}
-	return e.weight > weightBefore
-}
-
-// markPart marks an entry as that of a part. answered is whether another table knows a complete answer to a request with it.
-// markPart reports whether such an answer was not known here.
-func (t *Table) markPart(e *entry, answered bool) bool {
-	answeredBefore := e.answered
-	e.part, e.answered = true, answeredBefore || answered || t.answeredParts.has(e.fingerprint)
-	return e.answered != answeredBefore
 }
 
 // removeExpired removes the expired entries.
@@ -345,24 +326,37 @@
 	}
 }
 
-// entry returns the entry of a fingerprint. If there is none, it adds one, and evicts the lowest by compare
-// when the table is full.
+// entry returns the entry of a fingerprint, which it adds if there is none.
 func (t *Table) entry(fingerprint string, now time.Time) *entry {
 	if e, found := t.entries[fingerprint]; found && !e.expired(t.term, now) {
 		return e
 	}
+	// The name may be a piece of a longer text, which the entry would keep in memory.
+	e := &entry{fingerprint: strings.Clone(fingerprint)}
 	delete(t.entries, fingerprint)
+	t.entries[e.fingerprint] = e
 	t.attributed = false
-	if len(t.entries) >= t.capacity {
-		evicted := ""
-		for f, other := range t.entries {
-			if evicted == "" || other.compare(t.entries[evicted]) < 0 {
-				evicted = f
+	return e
+}
+
+// evict removes the lowest entries by compare if the table holds more than its capacity.
+func (t *Table) evict() {
+	surplus := len(t.entries) - t.capacity
+	if surplus <= 0 {
+		return
+	}
+	t.attributed = false
+	if surplus == 1 {
+		var lowest *entry
+		for _, e := range t.entries {
+			if lowest == nil || e.compare(lowest) < 0 {
+				lowest = e
 			}
 		}
-		delete(t.entries, evicted)
+		delete(t.entries, lowest.fingerprint)
+		return
+	}
+	for _, e := range slices.SortedFunc(maps.Values(t.entries), (*entry).compare)[:surplus] {
+		delete(t.entries, e.fingerprint)
 	}
-	e := &entry{fingerprint: fingerprint, crashes: make(map[string]crashRecord)}
-	t.entries[fingerprint] = e
-	return e
 }
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -15,6 +16,8 @@
 	rounds          = 200
 	others          = 6
 	crashingContent = "crashing"
+	// manyParts is the number of distinct parts of prompts beside the crashing one.
+	manyParts = 10_000
 )
 
 // simulate sends crashing content and other contents to engines for a number of rounds. Every engine that
@@ -114,7 +117,7 @@
 				table.Report([]string{crashingContent}, crash, now)
 			}
 			if test.clear {
-				table.Clear(quarantine.Content{Name: crashingContent}, now)
+				table.Clear([]quarantine.Content{{Name: crashingContent}}, now)
 			}
 			table.Merge([]quarantine.Suspect{test.merged}, now)
 			is.New(t).Equal(table.Check(crashingContent, now.Add(test.after)), test.want)
@@ -133,6 +136,95 @@
 	is.Equal(table.Check("a", now), quarantine.Free{}) // the entry that expires first is evicted
 }
 
+// tableWithManyParts returns a table after three engines crashed, each on a request with the crashing part beside others
+// with different parts, and the names of the crashes.
+func tableWithManyParts(now time.Time) *quarantine.Table {
+	const engines, partsEach = 3, 100
+	table := quarantine.NewTable(quarantine.WithClearQuarantined(), quarantine.WithCapacity(4096))
+	tracker := quarantine.NewTracker(table)
+	for engine := range engines {
+		sentAt := now.Add(time.Duration(engine) * time.Millisecond)
+		for n := engine * manyParts / engines; n < (engine+1)*manyParts/engines; n += partsEach {
+			contents := []quarantine.Content{{Name: fmt.Sprintf("%016x", n)}}
+			for i := range partsEach {
+				contents = append(contents, quarantine.Content{Name: fmt.Sprintf("part:%08x", n+i), Part: true})
+			}
+			if n%manyParts < partsEach || n >= engine*manyParts/engines && n < engine*manyParts/engines+partsEach {
+				contents = append(contents, quarantine.Content{Name: crashingContent, Part: true})
+			}
+			tracker.Disconnected(quarantine.Attempt{Upstream: fmt.Sprintf("i-%010x@1790000000123", engine), Contents: contents, SentAt: sentAt}, sentAt)
+		}
+		tracker.Terminated(fmt.Sprintf("i-%010x@1790000000123", engine), sentAt)
+	}
+	return table
+}
+
+// Very many distinct parts at the engines that crash neither hide the crashing part nor fill the memory.
+func TestManyPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	before := heapBytes()
+	table := tableWithManyParts(now)
+	later := now.Add(time.Second)
+	is.Equal(len(table.Suspects(later)), 4096)
+	// The crashing part is what another process learns first.
+	shared := table.Shared(later, 28)
+	is.Equal(shared[0].Fingerprint, crashingContent)
+	size := heapBytes() - before
+	t.Logf("%d bytes in memory, %d suspects in an exchange", size, len(shared))
+	is.True(size < 8<<20)
+	other := quarantine.NewTable(quarantine.WithClearQuarantined())
+	other.Merge(shared, later)
+	for _, table := range []*quarantine.Table{table, other} {
+		_, quarantined := table.Check(crashingContent, later).(quarantine.Quarantined)
+		is.True(quarantined)
+	}
+}
+
+// heapBytes returns the bytes in use after a garbage collection.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// Parts that can't be told apart are reported as one content, as only requests with all of them are refused.
+func TestPartsThatAreNotToldApartAreReportedAsOne(t *testing.T) {
+	is := is.New(t)
+	table, now := quarantine.NewTable(), time.Now()
+	contents := []quarantine.Content{{Name: "y", Part: true}, {Name: "x", Part: true}}
+	crash := func(upstream string, contents ...quarantine.Content) {
+		table.RecordCrash(contents, quarantine.Crash{Upstream: upstream, SentAt: now, Proven: true}, now)
+	}
+	for _, upstream := range []string{"a", "b", "c"} {
+		crash(upstream, contents...)
+	}
+	is.Equal(table.TakeNewlyQuarantined(), []string{"x+y"})
+	is.Equal(table.TakeNewlyQuarantined(), nil)
+	crash("d", contents[1])
+	is.Equal(table.TakeNewlyQuarantined(), []string{"x"})
+}
+
+// A process that has served nothing yet learns which parts are common, and does not take them for the cause of crashes.
+func TestCommonPartsAreShared(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	serving, started := quarantine.NewTable(quarantine.WithClearQuarantined()), quarantine.NewTable(quarantine.WithClearQuarantined())
+	common := quarantine.Content{Name: "common", Part: true}
+	for n := range 1000 {
+		serving.Clear([]quarantine.Content{common, {Name: fmt.Sprintf("own-%d", n), Part: true}}, now)
+	}
+	shared := serving.Shared(now, 28)
+	is.True(len(shared) <= 28)
+	started.Merge(shared, now)
+	is.Equal(len(started.Suspects(now)), 0)
+	for _, upstream := range []string{"a", "b", "c", "d"} {
+		started.RecordCrash([]quarantine.Content{common}, quarantine.Crash{Upstream: upstream, SentAt: now, Proven: true}, now)
+	}
+	is.Equal(started.Check("common", now), quarantine.Suspected{})
+}
+
 // BenchmarkCheck measures a check of free content with a full table.
 func BenchmarkCheck(b *testing.B) {
 	table, now := quarantine.NewTable(), time.Now()
@@ -150,7 +242,7 @@
 	const suspects = 4096
 	table := quarantine.NewTable(quarantine.WithCapacity(suspects))
 	for n := range suspects {
-		table.RecordCrash(quarantine.Content{Name: fmt.Sprintf("suspect-%d", n)}, quarantine.Crash{Upstream: fmt.Sprintf("i-%d", n/128), SentAt: now}, now.Add(-time.Minute))
+		table.RecordCrash([]quarantine.Content{{Name: fmt.Sprintf("suspect-%d", n)}}, quarantine.Crash{Upstream: fmt.Sprintf("i-%d", n/128), SentAt: now}, now.Add(-time.Minute))
 	}
 	return table
 }
@@ -172,7 +264,7 @@
 	n := 0
 	for b.Loop() {
 		n++
-		table.RecordCrash(quarantine.Content{Name: fmt.Sprintf("new-%d", n)}, quarantine.Crash{Upstream: "i-0", SentAt: now}, now)
+		table.RecordCrash([]quarantine.Content{{Name: fmt.Sprintf("new-%d", n)}}, quarantine.Crash{Upstream: "i-0", SentAt: now}, now)
 	}
 }
 
@@ -185,8 +277,8 @@
 	n := 0
 	for b.Loop() {
 		n++
-		table.RecordCrash(quarantine.Content{Name: "suspect-4000"}, quarantine.Crash{Upstream: fmt.Sprintf("j-%d", n%4), SentAt: now.Add(time.Duration(n)), Proven: true}, now.Add(time.Duration(n)))
-		table.Clear(quarantine.Content{Name: "suspect-4000"}, now)
+		table.RecordCrash([]quarantine.Content{{Name: "suspect-4000"}}, quarantine.Crash{Upstream: fmt.Sprintf("j-%d", n%4), SentAt: now.Add(time.Duration(n)), Proven: true}, now.Add(time.Duration(n)))
+		table.Clear([]quarantine.Content{{Name: "suspect-4000"}}, now)
 		table.Check("other", now)
 	}
 }
--- a/router/quarantine/tracker.go
+++ b/router/quarantine/tracker.go
@@ -52,7 +52,7 @@
 		Upstream string
 		Contents []Content
 		SentAt   time.Time
-		// Begun is whether the upstream's answer had begun.
+		// Begun is whether the upstream's answer had been under way for some time.
 		Begun bool
 
 		finishedAt time.Time
@@ -66,23 +66,21 @@
 
 // Answered clears the contents of an attempt that got a complete answer.
 func (t *Tracker) Answered(a Attempt, now time.Time) {
-	for _, c := range a.Contents {
-		t.table.Clear(c, now)
-	}
+	t.table.Clear(a.Contents, now)
 }
 
 // Disconnected records that the upstream's connection closed before the answer was complete. It returns true
 // if the upstream's termination was already confirmed and the crash changed the table.
 func (t *Tracker) Disconnected(a Attempt, now time.Time) bool {
 	terminated := t.addIncomplete(a, now)
-	return t.recordCrash(a, terminated, now) && terminated
+	return len(t.table.recordAttempts([]Attempt{a}, terminated, now)) > 0 && terminated
 }
 
 // Abandoned records that no request waits for the answer any more. This is recorded as a crash only if the
 // upstream's termination is confirmed: already, or within attemptRetention. It reports whether it changed the
 // table.
 func (t *Tracker) Abandoned(a Attempt, now time.Time) bool {
-	return t.addIncomplete(a, now) && t.recordCrash(a, true, now)
+	return t.addIncomplete(a, now) && len(t.table.recordAttempts([]Attempt{a}, true, now)) > 0
 }
 
 // Terminated records that an incarnation of an upstream has terminated. It returns the contents to which this
@@ -95,16 +93,7 @@
 	attempts := u.incomplete
 	u.incomplete = nil
 	t.mu.Unlock()
-	var fingerprints []string
-	for _, a := range attempts {
-		if !t.recordCrash(a, true, now) {
-			continue
-		}
-		for _, c := range a.Contents {
-			fingerprints = append(fingerprints, c.Name)
-		}
-	}
-	return fingerprints
+	return t.table.recordAttempts(attempts, true, now)
 }
 
 // Unreachable records that a connection to an upstream timed out, because of the upstream or of the network.
@@ -118,11 +107,7 @@
 		attempts = slices.Clone(u.incomplete)
 	}
 	t.mu.Unlock()
-	anyNew := false
-	for _, a := range attempts {
-		anyNew = t.recordCrash(a, false, now) || anyNew
-	}
-	return anyNew
+	return len(t.table.recordAttempts(attempts, false, now)) > 0
 }
 
 // addIncomplete keeps an attempt without a complete answer. If its upstream was confirmed to have terminated
@@ -169,12 +154,3 @@
 		}
 	}
 }
-
-func (t *Tracker) recordCrash(a Attempt, proven bool, now time.Time) bool {
-	anyNew := false
-	for _, c := range a.Contents {
-		crash := Crash{Upstream: a.Upstream, SentAt: a.SentAt, Proven: proven, Begun: a.Begun}
-		anyNew = t.table.RecordCrash(c, crash, now) || anyNew
-	}
-	return anyNew
-}
--- a/router/quarantine/tracker_test.go
+++ b/router/quarantine/tracker_test.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		runs++
-		table.RecordCrash(quarantine.Content{Name: crashingContent}, quarantine.Crash{Upstream: "i-" + now.String(), SentAt: now, Proven: true}, now)
+		table.RecordCrash([]quarantine.Content{{Name: crashingContent}}, quarantine.Crash{Upstream: "i-" + now.String(), SentAt: now, Proven: true}, now)
 	}
 	is.True(runs <= 2+3)
 }
