Front: follow all parts of a prompt

Change: all parts are followed. Names of parts have 69 bytes at most, log lines list 256 contents or parts, and attempts without a complete answer keep 65,536 contents together.

--- a/router/adapter/member/size_test.go
+++ b/router/adapter/member/size_test.go
@@ -72,6 +72,34 @@
 	is.True(proto.Size(toMessage(update)) < maxResponseBytes)
 }
 
+// TestUpdateWithManyPartsFitsResponseLimit covers the update after crashes of engines that ran prompts with very many parts,
+// all with the longest names, at the most crashes that a suspect holds.
+func TestUpdateWithManyPartsFitsResponseLimit(t *testing.T) {
+	const parts, crashes, suspects = 10_000, 8, 28
+	tests := map[string]bool{"answers began": false, "answers were under way": true}
+	for name, begun := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			table := quarantine.NewTable(quarantine.WithCapacity(4096))
+			for crash := range crashes {
+				var contents []quarantine.Content
+				for n := range parts {
+					contents = append(contents, quarantine.Content{Name: fmt.Sprintf("part:%064x", n), Part: true})
+				}
+				sentAt := now.Add(time.Duration(crash) * time.Millisecond)
+				table.RecordCrash(contents, quarantine.Crash{Upstream: fmt.Sprintf("i-%010x@1790000000123", crash), SentAt: sentAt, Proven: true, Begun: begun}, sentAt)
+			}
+			update := largestUpdate()
+			update.Suspects = table.Shared(now.Add(time.Second), suspects)
+			size := proto.Size(toMessage(update))
+			t.Logf("%d bytes per message with %d suspects", size, len(update.Suspects))
+			is.True(len(update.Suspects) > suspects)
+			is.True(size < maxResponseBytes)
+		})
+	}
+}
+
 // BenchmarkExchange measures one exchange in a fleet of targetEntries entries. It includes both sides and HTTP.
 func BenchmarkExchange(b *testing.B) {
 	group := membership.NewGroup("10.1.0.1:8144", nil, nil, event.Discard())
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -63,7 +63,7 @@
 // logLostAnswer logs a send without a complete answer.
 func (ar *activeRequest) logLostAnswer(m *upstream.Member, sendReason SendReason, err error) {
 	ar.gateway.log.Error(err, event.AnswerIncomplete, "request", ar.request.ID, "upstream", m.ID, "address", m.Address,
-		"path", sendReason.String(), "contents", contentNames(ar.contents), "parts", ar.request.promptParts(), "events", ar.record.Events,
+		"path", sendReason.String(), "contents", logged(contentNames(ar.contents)), "parts", logged(ar.request.promptParts()), "parts_total", len(ar.request.promptParts()), "events", ar.record.Events,
 		"took_ms", time.Since(ar.request.Arrived).Milliseconds())
 }
 
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +23,10 @@
 	// maxSuspects bounds the suspects that are kept: two names for each request that ran at one of thirty
 	// busy engines when these crashed.
 	maxSuspects = 4096
+	// maxPartName bounds the name of a part in bytes. A longer one ends with a digest.
+	maxPartName = 64
+	// maxLoggedContents bounds the contents and the parts in a log line.
+	maxLoggedContents = 256
 	// partPrefix distinguishes the names of prompt parts from those of whole contents.
 	partPrefix = "part:"
 )
@@ -60,10 +67,36 @@
 		{Name: name(r.Caller, r.Header.Get("Authorization"), r.Method, r.Path)},
 		{Name: name(r.Method, r.Target), Shared: true},
 	}
-	if parts := r.promptParts(); len(parts) > 1 {
-		for _, part := range parts[:len(parts)-1] {
-			contents = append(contents, quarantine.Content{Name: partPrefix + part, Part: true})
+	return appendPartContents(contents, r.promptParts())
+}
+
+// appendPartContents appends the contents of all parts of a prompt but the last one. Repeated ones are left out.
+func appendPartContents(contents []quarantine.Content, parts []string) []quarantine.Content {
+	if len(parts) < 2 {
+		return contents
+	}
+	parts = slices.Clone(parts[:len(parts)-1])
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
+	length := 0
+	for _, part := range parts {
+		length += len(partPrefix) + min(len(part), maxPartName)
+	}
+	// One buffer holds all names: a prompt may have thousands of parts.
+	var names strings.Builder
+	names.Grow(length)
+	contents = slices.Grow(contents, len(parts))
+	for _, part := range parts {
+		begin := names.Len()
+		names.WriteString(partPrefix)
+		if len(part) > maxPartName {
+			const digestLength = 16
+			names.WriteString(part[:maxPartName-digestLength])
+			fmt.Fprintf(&names, "%0*x", digestLength, digest(nil, part))
+		} else {
+			names.WriteString(part)
 		}
+		contents = append(contents, quarantine.Content{Name: names.String()[begin:], Part: true})
 	}
 	return contents
 }
@@ -107,7 +140,7 @@
 	ar.gateway.reportSuspected(t.Upstream, contentNames(t.Contents))
 }
 
-// contentNames returns the names of the contents for logs.
+// contentNames returns the names of the contents.
 func contentNames(contents []quarantine.Content) []string {
 	var names []string
 	for _, c := range contents {
@@ -116,6 +149,11 @@
 	return names
 }
 
+// logged returns the first of the names, at most maxLoggedContents.
+func logged(names []string) []string {
+	return names[:min(len(names), maxLoggedContents)]
+}
+
 // recordAnswered records a complete answer, which clears the content of suspicion.
 func (ar *activeRequest) recordAnswered(t quarantine.Attempt) {
 	ar.gateway.crashes.tracker.Answered(t, time.Now())
@@ -188,7 +226,7 @@
 // reportSuspected logs the contents of the requests that ran at an upstream when it terminated, and notifies
 // other entries.
 func (g *Gateway) reportSuspected(upstreamName string, contents []string) {
-	g.log.Info(event.ContentSuspected, "upstream", upstreamName, "contents", contents)
+	g.log.Info(event.ContentSuspected, "upstream", upstreamName, "contents", logged(contents), "contents_total", len(contents))
 	g.crashes.notifyIfUrgent(true)
 }
 
--- a/router/quarantine/tracker.go
+++ b/router/quarantine/tracker.go
@@ -13,6 +13,9 @@
 	attemptRetention = 6 * time.Second
 	// maxAttemptsPerUpstream bounds the attempts without a complete answer that are kept for one upstream.
 	maxAttemptsPerUpstream = 128
+	// maxKeptContents bounds the contents of all attempts that are kept: the prompt of one request may have thousands of
+	// parts. A content and its name take about 40 bytes.
+	maxKeptContents = 1 << 16
 	// upstreamRetention is how long the termination of an upstream is kept for attempts that are still
 	// running. Deadlines of callers are shorter.
 	upstreamRetention = time.Minute
@@ -36,6 +39,8 @@
 		mu        sync.Mutex
 		upstreams map[string]*upstreamRecord
 		lastSweep time.Time
+		// kept is the number of contents of the attempts without a complete answer.
+		kept int
 	}
 
 	// upstreamRecord is the state of one incarnation of an upstream.
@@ -91,7 +96,7 @@
 	u := t.upstream(upstream, now)
 	u.terminatedAt = now
 	attempts := u.incomplete
-	u.incomplete = nil
+	t.drop(u, len(attempts))
 	t.mu.Unlock()
 	return t.table.recordAttempts(attempts, true, now)
 }
@@ -122,12 +127,34 @@
 	}
 	a.finishedAt = now
 	if len(u.incomplete) >= maxAttemptsPerUpstream {
-		u.incomplete = u.incomplete[1:]
+		t.drop(u, 1)
 	}
 	u.incomplete = append(u.incomplete, a)
+	for t.kept += len(a.Contents); t.kept > maxKeptContents && t.kept > len(a.Contents); {
+		t.drop(t.oldest(), 1)
+	}
 	return false
 }
 
+// oldest returns the upstream with the oldest attempt without a complete answer. The caller holds the lock.
+func (t *Tracker) oldest() *upstreamRecord {
+	var oldest *upstreamRecord
+	for _, u := range t.upstreams {
+		if len(u.incomplete) > 0 && (oldest == nil || u.incomplete[0].finishedAt.Before(oldest.incomplete[0].finishedAt)) {
+			oldest = u
+		}
+	}
+	return oldest
+}
+
+// drop removes the oldest attempts at an upstream. The caller holds the lock.
+func (t *Tracker) drop(u *upstreamRecord, attempts int) {
+	for _, a := range u.incomplete[:attempts] {
+		t.kept -= len(a.Contents)
+	}
+	u.incomplete = u.incomplete[attempts:]
+}
+
 // upstream returns the record of an upstream, which it adds if there is none. The caller holds the lock.
 func (t *Tracker) upstream(name string, now time.Time) *upstreamRecord {
 	u, found := t.upstreams[name]
@@ -147,7 +174,7 @@
 	t.lastSweep = now
 	for name, u := range t.upstreams {
 		for len(u.incomplete) > 0 && now.Sub(u.incomplete[0].finishedAt) > attemptRetention {
-			u.incomplete = u.incomplete[1:]
+			t.drop(u, 1)
 		}
 		if len(u.incomplete) == 0 && now.Sub(u.lastUsed) > upstreamRetention {
 			delete(t.upstreams, name)
--- a/router/quarantine/tracker_test.go
+++ b/router/quarantine/tracker_test.go
@@ -167,3 +167,27 @@
 	is.True(quarantined)
 	is.Equal(len(table.Suspects(now.Add(time.Second))), 100)
 }
+
+// Requests with very many parts do not make the tracker keep more than a bounded number of contents, and the latest ones are
+// kept.
+func TestKeptContentsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := quarantine.NewTable(quarantine.WithCapacity(1 << 20))
+	tracker := quarantine.NewTracker(table)
+	const requests, parts, bound = 100, 4000, 1 << 16
+	for n := range requests {
+		contents := make([]quarantine.Content, parts)
+		for i := range contents {
+			contents[i] = quarantine.Content{Name: fmt.Sprintf("p%d-%d", n, i), Part: true}
+		}
+		tracker.Abandoned(quarantine.Attempt{Upstream: fmt.Sprintf("u%d", n%3), Contents: contents, SentAt: now}, now.Add(time.Duration(n)))
+	}
+	suspected := 0
+	for n := range 3 {
+		suspected += len(tracker.Terminated(fmt.Sprintf("u%d", n), now.Add(time.Second)))
+	}
+	is.True(suspected <= bound)
+	is.True(suspected > bound-parts)
+	is.Equal(table.Check(fmt.Sprintf("p%d-0", requests-1), now.Add(time.Second)), quarantine.Suspected{})
+}
