--- a/router/quarantine/tracker.go
+++ b/router/quarantine/tracker.go
@@ -13,6 +13,9 @@
 	attemptRetention = 6 * time.Second
 	// maxAttemptsPerUpstream bounds the attempts without a complete answer that are kept for one upstream.
 	maxAttemptsPerUpstream = 128
+	// maxKeptContents bounds the contents of all attempts that are kept: the prompt of one request may have thousands of
+	// parts. A content and its name take about 40 bytes.
+	maxKeptContents = 1 << 16
 	// upstreamRetention is how long the termination of an upstream is kept for attempts that are still
 	// running. Deadlines of callers are shorter.
 	upstreamRetention = time.Minute
@@ -36,6 +39,8 @@
 		mu        sync.Mutex
 		upstreams map[string]*upstreamRecord
 		lastSweep time.Time
+		// kept is the number of contents of the attempts without a complete answer.
+		kept int
 	}
 
 	// upstreamRecord is the state of one incarnation of an upstream.
@@ -52,7 +57,7 @@
 		Upstream string
 		Contents []Content
 		SentAt   time.Time
-		// Begun is whether the upstream's answer had begun.
+		// Begun is whether the upstream's answer had been under way for some time.
 		Begun bool
 
 		finishedAt time.Time
@@ -66,23 +71,21 @@
 
 // Answered clears the contents of an attempt that got a complete answer.
 func (t *Tracker) Answered(a Attempt, now time.Time) {
-	for _, c := range a.Contents {
-		t.table.Clear(c, now)
-	}
+	t.table.Clear(a.Contents, now)
 }
 
 // Disconnected records that the upstream's connection closed before the answer was complete. It returns true
 // if the upstream's termination was already confirmed and the crash changed the table.
 func (t *Tracker) Disconnected(a Attempt, now time.Time) bool {
 	terminated := t.addIncomplete(a, now)
-	return t.recordCrash(a, terminated, now) && terminated
+	return len(t.table.recordAttempts([]Attempt{a}, terminated, now)) > 0 && terminated
 }
 
 // Abandoned records that no request waits for the answer any more. This is recorded as a crash only if the
 // upstream's termination is confirmed: already, or within attemptRetention. It reports whether it changed the
 // table.
 func (t *Tracker) Abandoned(a Attempt, now time.Time) bool {
-	return t.addIncomplete(a, now) && t.recordCrash(a, true, now)
+	return t.addIncomplete(a, now) && len(t.table.recordAttempts([]Attempt{a}, true, now)) > 0
 }
 
 // Terminated records that an incarnation of an upstream has terminated. It returns the contents to which this
@@ -93,18 +96,9 @@
 	u := t.upstream(upstream, now)
 	u.terminatedAt = now
 	attempts := u.incomplete
-	u.incomplete = nil
+	t.drop(u, len(attempts))
 	t.mu.Unlock()
-	var fingerprints []string
-	for _, a := range attempts {
-		if !t.recordCrash(a, true, now) {
-			continue
-		}
-		for _, c := range a.Contents {
-			fingerprints = append(fingerprints, c.Name)
-		}
-	}
-	return fingerprints
+	return t.table.recordAttempts(attempts, true, now)
 }
 
 // Unreachable records that a connection to an upstream timed out, because of the upstream or of the network.
@@ -118,11 +112,7 @@
 		attempts = slices.Clone(u.incomplete)
 	}
 	t.mu.Unlock()
-	anyNew := false
-	for _, a := range attempts {
-		anyNew = t.recordCrash(a, false, now) || anyNew
-	}
-	return anyNew
+	return len(t.table.recordAttempts(attempts, false, now)) > 0
 }
 
 // addIncomplete keeps an attempt without a complete answer. If its upstream was confirmed to have terminated
@@ -137,12 +127,34 @@
 	}
 	a.finishedAt = now
 	if len(u.incomplete) >= maxAttemptsPerUpstream {
-		u.incomplete = u.incomplete[1:]
+		t.drop(u, 1)
 	}
 	u.incomplete = append(u.incomplete, a)
+	for t.kept += len(a.Contents); t.kept > maxKeptContents && t.kept > len(a.Contents); {
+		t.drop(t.oldest(), 1)
+	}
 	return false
 }
 
+// oldest returns the upstream with the oldest attempt without a complete answer. The caller holds the lock.
+func (t *Tracker) oldest() *upstreamRecord {
+	var oldest *upstreamRecord
+	for _, u := range t.upstreams {
+		if len(u.incomplete) > 0 && (oldest == nil || u.incomplete[0].finishedAt.Before(oldest.incomplete[0].finishedAt)) {
+			oldest = u
+		}
+	}
+	return oldest
+}
+
+// drop removes the oldest attempts at an upstream. The caller holds the lock.
+func (t *Tracker) drop(u *upstreamRecord, attempts int) {
+	for _, a := range u.incomplete[:attempts] {
+		t.kept -= len(a.Contents)
+	}
+	u.incomplete = u.incomplete[attempts:]
+}
+
 // upstream returns the record of an upstream, which it adds if there is none. The caller holds the lock.
 func (t *Tracker) upstream(name string, now time.Time) *upstreamRecord {
 	u, found := t.upstreams[name]
@@ -162,19 +174,10 @@
 	t.lastSweep = now
 	for name, u := range t.upstreams {
 		for len(u.incomplete) > 0 && now.Sub(u.incomplete[0].finishedAt) > attemptRetention {
-			u.incomplete = u.incomplete[1:]
+			t.drop(u, 1)
 		}
 		if len(u.incomplete) == 0 && now.Sub(u.lastUsed) > upstreamRetention {
 			delete(t.upstreams, name)
 		}
 	}
 }
-
-func (t *Tracker) recordCrash(a Attempt, proven bool, now time.Time) bool {
-	anyNew := false
-	for _, c := range a.Contents {
-		crash := Crash{Upstream: a.Upstream, SentAt: a.SentAt, Proven: proven, Begun: a.Begun}
-		anyNew = t.table.RecordCrash(c, crash, now) || anyNew
-	}
-	return anyNew
-}
