Memory: one byte budget for requests, answers and connections

Cause: limits held for each request, and nothing held for all together. Bodies were read whole with io.ReadAll, heads had 256 KB whatever the configuration said, bodies had no time limit, connections no number, and the bound on answers ended before they were written to their clients.

Change: router/memory holds the bytes of a process. A request takes them before anything is buffered; it waits briefly, or gets 503 with Retry-After and is not sent. An eighth is for small requests. Clients that make no progress give way when others wait. router/connection decides which connection is closed for a new one. Heads are counted as they arrive, by the configured limit and by what their fields cost; bodies have to be complete within the caller's deadline. Socket buffers are small, and larger while a large body is read or written. The byteBudget of the gateway is replaced. Setting client_connections (default: by memory_mb), events 6040 to 6045, metrics of memory, connections and refusals.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -69,4 +69,16 @@
 	UpstreamBackoff = Event{Number: 6033, Text: "upstream asks for no requests"}
 	// UpstreamListRead is logged when the complete list of upstreams was read again.
 	UpstreamListRead = Event{Number: 6012, Text: "upstream list read"}
+	// MemoryRefused is logged when a request is refused because no memory is left for its body.
+	MemoryRefused = Event{Number: 6040, Text: "request refused for memory"}
+	// BodyStalled is logged when the body of a request is not complete in time.
+	BodyStalled = Event{Number: 6041, Text: "request body not complete in time"}
+	// HeadRefused is logged when the head of a request is too large or takes too long, or no memory is left for it.
+	HeadRefused = Event{Number: 6042, Text: "request head refused"}
+	// ConnectionReplaced is logged when a client's connection is closed in favour of a new one.
+	ConnectionReplaced = Event{Number: 6043, Text: "connection closed for a new one"}
+	// AnswerUnread is logged when an answer is given up because its client does not read it while others wait for memory.
+	AnswerUnread = Event{Number: 6045, Text: "answer given up as its client does not read"}
+	// ConnectionRefused is logged when a new connection is closed because all others serve requests.
+	ConnectionRefused = Event{Number: 6044, Text: "connection refused"}
 )
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -48,6 +48,10 @@
 		writtenBytes atomic.Int64
 		// answered is whether the connection has received a response.
 		answered bool
+		// receiveBytes is the receive buffer of a connection whose buffers are set; 0 leaves it to the kernel.
+		receiveBytes int
+		// widened is whether the receive buffer is enlarged.
+		widened bool
 		// readBudget is the number of bytes that may still be read.
 		readBudget int
 	}
@@ -188,13 +192,15 @@
 
 // newDialer returns a function that opens connections. They fail if the peer does not acknowledge sent data
 // within ackTimeout.
-func newDialer(timeout, ackTimeout time.Duration) func(context.Context, string) (*conn, error) {
+func newDialer(o options) func(context.Context, string) (*conn, error) {
 	d := &net.Dialer{
-		Timeout:   timeout,
+		Timeout:   o.dialTimeout,
 		KeepAlive: -1,
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var failed error
-			err := c.Control(func(fd uintptr) { failed = setAckTimeout(int(fd), ackTimeout) })
+			err := c.Control(func(fd uintptr) {
+				failed = errors.Join(setAckTimeout(int(fd), o.ackTimeout), setSocketBuffers(int(fd), o))
+			})
 			return errors.Join(err, failed)
 		},
 	}
@@ -203,7 +209,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		k := &conn{Conn: c, address: address, readBudget: maxHeadBytes}
+		k := &conn{Conn: c, address: address, readBudget: maxHeadBytes, receiveBytes: o.receiveBytes}
 		k.reader = bufio.NewReaderSize(k, readBufferBytes)
 		return k, nil
 	}
@@ -221,3 +227,22 @@
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2),
 	)
 }
+
+// setSocketBuffers sets the sizes of the socket buffers before the connection is opened.
+func setSocketBuffers(fd int, o options) error {
+	if o.receiveBytes == 0 {
+		return nil
+	}
+	return errors.Join(
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, o.receiveBytes),
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, o.sendBytes),
+	)
+}
+
+// setReceiveBuffer sets the receive buffer of an open connection whose buffers are set. An error leaves it as it is.
+func (k *conn) setReceiveBuffer(bytes int) {
+	if c, ok := k.Conn.(*net.TCPConn); ok && k.receiveBytes > 0 {
+		_ = c.SetReadBuffer(bytes)
+		k.widened = bytes > k.receiveBytes
+	}
+}
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -80,6 +80,7 @@
 		source   io.Reader
 		once     sync.Once
 		finish   func(complete bool)
+		conn     *conn
 		complete bool
 	}
 )
@@ -166,6 +167,9 @@
 		select {
 		case err := <-written:
 			if active && complete && err == nil && k.reusable(response) {
+				if k.widened {
+					k.setReceiveBuffer(k.receiveBytes)
+				}
 				c.idle.put(k, time.Now())
 				return
 			}
@@ -173,7 +177,7 @@
 		}
 		k.abort()
 	}
-	return &Body{source: response.Body, finish: finish}
+	return &Body{source: response.Body, finish: finish, conn: k}
 }
 
 // Read implements io.Reader.
@@ -186,6 +190,12 @@
 	return n, err
 }
 
+// Widen enlarges the receive buffer of the connection until the body is complete, if the client sets the sizes of socket buffers.
+// A large body then does not need a round trip for each buffer.
+func (b *Body) Widen(receiveBytes int) {
+	b.conn.setReceiveBuffer(receiveBytes / 2)
+}
+
 // Release closes the connection unless the body was read to its end.
 func (b *Body) Release() {
 	b.once.Do(func() { b.finish(b.complete) })
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -323,3 +324,62 @@
 		limit = 1
 	}
 }
+
+// Guards against answers that pile up in the kernel for a client that doesn't read them: the server can send no more than the
+// receive buffer takes. An enlarged buffer takes more, and the connection serves the next request all the same.
+func TestSocketBuffersBoundUnreadAnswers(t *testing.T) {
+	const answerBytes, receiveBytes, wideBytes = 2 << 20, 16 << 10, 256 << 10
+	tests := map[string]struct {
+		widen         bool
+		lowest, limit int64
+	}{
+		"as set":  {false, 0, 100 << 10},
+		"widened": {true, 128 << 10, 512 << 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			blocked := make(chan struct{})
+			s := serve(t, func(s *server, c net.Conn, in *bufio.Reader) {
+				is.NoErr(c.(*net.TCPConn).SetWriteBuffer(receiveBytes))
+				for n := 0; s.readRequest(in); n++ {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", answerBytes)
+					for left := answerBytes; left > 0; left -= 8 << 10 {
+						if n == 0 {
+							is.NoErr(c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)))
+						}
+						written, err := c.Write(make([]byte, 8<<10))
+						sent.Add(int64(written))
+						if err != nil {
+							blocked <- struct{}{}
+							<-blocked
+							is.NoErr(c.SetWriteDeadline(time.Time{}))
+							_, err = c.Write(make([]byte, 8<<10-written))
+							is.NoErr(err)
+							n++
+						}
+					}
+				}
+			})
+			c := exchange.NewClient(exchange.WithSocketBuffers(receiveBytes, receiveBytes))
+			a, ok := c.Do(t.Context(), get(s.address, "")).(exchange.Answered)
+			is.True(ok)
+			if tt.widen {
+				a.Body.Widen(wideBytes)
+			}
+			<-blocked
+			t.Logf("%d bytes sent", sent.Load())
+			is.True(sent.Load() >= tt.lowest)
+			is.True(sent.Load() <= tt.limit)
+			blocked <- struct{}{}
+			n, err := io.Copy(io.Discard, a.Body)
+			is.NoErr(err)
+			is.Equal(n, int64(answerBytes))
+			body, err := readBody(c.Do(t.Context(), get(s.address, "")))
+			is.NoErr(err)
+			is.Equal(len(body), answerBytes)
+			is.Equal(s.accepted.Load(), int64(1))
+		})
+	}
+}
--- a/router/exchange/idle.go
+++ b/router/exchange/idle.go
@@ -26,6 +26,8 @@
 		ackTimeout  time.Duration
 		idleTimeout time.Duration
 		perAddress  func() int
+		// receiveBytes and sendBytes are the socket buffers; 0 leaves them to the kernel.
+		receiveBytes, sendBytes int
 	}
 
 	// idlePool holds idle connections by address, the most recently used last.
@@ -49,7 +51,7 @@
 		opt(&o)
 	}
 	return &Client{
-		dial: newDialer(o.dialTimeout, o.ackTimeout),
+		dial: newDialer(o),
 		idle: &idlePool{timeout: o.idleTimeout, perAddress: o.perAddress, conns: make(map[string][]*conn)},
 	}
 }
@@ -74,6 +76,12 @@
 	return func(o *options) { o.perAddress = connections }
 }
 
+// WithSocketBuffers sets the sizes of the socket buffers of connections, which the kernel doubles. Bytes that an upstream has
+// sent and that are not read yet stay within them.
+func WithSocketBuffers(receiveBytes, sendBytes int) Option {
+	return func(o *options) { o.receiveBytes, o.sendBytes = receiveBytes, sendBytes }
+}
+
 // CloseIdle closes the idle connections that have expired, so that the upstream can accept others.
 func (c *Client) CloseIdle(now time.Time) {
 	for _, k := range c.idle.removeExpired(now) {
--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -7,6 +7,7 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/quarantine"
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/refusal"
@@ -24,6 +25,8 @@
 		poolState *poolState
 		reply     Reply
 		record    *Record
+		// memory holds the answers that are buffered.
+		memory *memory.Allocation
 		// contents identify the content of the request for the quarantine of content that crashes
 		// upstreams.
 		contents []quarantine.Content
--- a/router/gateway/body.go
+++ b/router/gateway/body.go
@@ -1,20 +1,26 @@
 package gateway
 
 import (
-	"bytes"
+	"context"
 	"errors"
-	"io"
-	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/memory"
 )
 
 const (
 	// maxBufferedBodyBytes bounds the body of an answer that is buffered before it is sent to the caller,
 	// such as that of a plain service.
 	maxBufferedBodyBytes = 8 << 20
-	// readChunkBytes is the size of one read from an answer.
-	readChunkBytes = 16 << 10
+	// answerPatience is how long an answer waits for memory. It is longer than that of requests, as the upstream has run
+	// this one.
+	answerPatience = 2 * time.Second
+	// largeAnswerBytes is the size above which the connection to the upstream gets a larger receive buffer, which takes
+	// largeReceiveBytes.
+	largeAnswerBytes  = 32 << 10
+	largeReceiveBytes = 256 << 10
 )
 
 var (
@@ -23,48 +29,38 @@
 )
 
 type (
-	// byteBudget bounds the bytes that several readers use at the same time. It is safe for concurrent use.
-	byteBudget struct {
-		limit int64
-		used  atomic.Int64
-	}
+	// widenable is the body of an answer on a connection whose receive buffer can be enlarged for it.
+	widenable interface{ Widen(receiveBytes int) }
 )
 
-// acquire takes a number of bytes from the budget, or returns false if they exceed what is left.
-func (b *byteBudget) acquire(bytes int64) bool {
-	if b.used.Add(bytes) > b.limit {
-		b.used.Add(-bytes)
-		return false
+// allocation returns the memory of the request and the function that releases it at its end.
+func (g *Gateway) allocation(r *Request) (*memory.Allocation, func()) {
+	if r.Memory != nil {
+		// Its owner releases it.
+		r.Memory.CompleteRequest()
+		return r.Memory, func() {}
 	}
-	return true
-}
-
-func (b *byteBudget) release(bytes int64) {
-	b.used.Add(-bytes)
+	a := g.answerMemory.NewAllocation(func() {})
+	return a, a.Release
 }
 
 // readBody reads the complete body of an answer and releases it. It returns the answer itself as the
 // result, or Unknown if the body is truncated or exceeds a memory limit: the upstream may have run the
-// request.
-func (g *Gateway) readBody(a Answer) ([]byte, Result) {
-	acquired := int64(0)
-	// The memory returns to the budget only after the answer is released.
-	defer func() { g.answerMemory.release(acquired) }()
+// request. The memory is held until the end of the request.
+func (ar *activeRequest) readBody(ctx context.Context, a Answer) ([]byte, Result) {
 	defer a.Body.Release()
-	var body bytes.Buffer
-	for {
-		if !g.answerMemory.acquire(readChunkBytes) {
-			return nil, Unknown{Err: errAnswerMemory}
-		}
-		acquired += readChunkBytes
-		_, err := io.CopyN(&body, a.Body, readChunkBytes)
-		switch {
-		case errors.Is(err, io.EOF):
-			return body.Bytes(), a
-		case err != nil:
-			return nil, Unknown{Err: eris.Wrap(err, "answer truncated"), ConnectionLost: true}
-		case body.Len() > maxBufferedBodyBytes:
-			return nil, Unknown{Err: errAnswerTooLong}
-		}
+	if w, ok := a.Body.(widenable); ok && a.Length > largeAnswerBytes && ar.memory.Grow(largeReceiveBytes) {
+		w.Widen(largeReceiveBytes)
+		defer ar.memory.Shrink(largeReceiveBytes)
+	}
+	body, err := ar.memory.ReadAll(ctx, a.Body, a.Length, maxBufferedBodyBytes, answerPatience)
+	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return nil, Unknown{Err: errAnswerMemory}
+	case errors.Is(err, memory.ErrTooLong):
+		return nil, Unknown{Err: errAnswerTooLong}
+	case err != nil:
+		return nil, Unknown{Err: eris.Wrap(err, "answer truncated"), ConnectionLost: true}
 	}
+	return body, a
 }
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -132,7 +132,7 @@
 		began := time.Now()
 		c := callResult{member: m, reason: reason, attempt: ar.newAttempt(m), result: ar.gateway.upstreams.Call(ctx, m, ar.request, ar.sendOptions())}
 		if a, ok := c.result.(Answer); ok {
-			c.body, c.result = ar.gateway.readBody(a)
+			c.body, c.result = ar.readBody(ctx, a)
 		}
 		c.took = time.Since(began)
 		ar.recordOutcome(ctx, c)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
@@ -54,8 +55,9 @@
 		entries        func() int
 		crashes        *crashDetector
 		notifySuspects func()
-		answerMemory   byteBudget
-		quota          Quota
+		// answerMemory is for requests without memory of their own.
+		answerMemory *memory.Budget
+		quota        Quota
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -97,7 +99,7 @@
 		retryBurst:     defaultRetryBurst,
 		entries:        func() int { return 1 },
 		notifySuspects: func() {},
-		answerMemory:   byteBudget{limit: defaultAnswerBytes},
+		answerMemory:   memory.NewBudget(defaultAnswerBytes),
 		quota:          unlimited{},
 		random:         rand.New(rand.NewPCG(1, 1)),
 		pools:          make(map[string]*poolState),
@@ -139,9 +141,10 @@
 	return func(g *Gateway) { g.entries = entries }
 }
 
-// WithAnswerBytes bounds the memory, in bytes, of all answers that are buffered at the same time.
+// WithAnswerBytes bounds the memory, in bytes, of all answers that are buffered at the same time for requests without memory
+// of their own.
 func WithAnswerBytes(bytes int64) Option {
-	return func(g *Gateway) { g.answerMemory.limit = bytes }
+	return func(g *Gateway) { g.answerMemory = memory.NewBudget(bytes) }
 }
 
 // WithSuspectNotifier sets the function that is called when the suspects changed and other entries should receive
@@ -209,7 +212,9 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline(route))
 	defer cancel()
-	w := &activeRequest{gateway: g, request: r, route: route, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
+	held, release := g.allocation(r)
+	defer release()
+	w := &activeRequest{gateway: g, request: r, memory: held, route: route, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.poolState = g.poolState(w.pool)
 	w.poolState.retryBudget.RecordFirstTry()
 	w.contents = r.contents()
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -108,7 +108,7 @@
 	if n.relay.headSent {
 		return n.resumeOrRefuse(ctx, m, eris.Wrapf(errEngineStatus, "status %d", a.Status))
 	}
-	body, result := n.gateway.readBody(a)
+	body, result := n.readBody(ctx, a)
 	if u, incomplete := result.(Unknown); incomplete {
 		n.recordUnknown(ctx, t, m, u.ConnectionLost)
 		return n.resumeOrRefuse(ctx, m, u.Err)
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 )
 
 type (
@@ -33,6 +34,9 @@
 		// LastEventID is the ID of the last event that the caller received of an earlier, truncated answer; empty
 		// if there is none.
 		LastEventID string
+		// Memory holds the body, and the answer while it is buffered; nil selects memory of the gateway. Its owner releases
+		// it after the request.
+		Memory *memory.Allocation
 	}
 
 	// Generation describes a request to a model, as its caller stated it.
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -79,6 +79,10 @@
 	Limits struct {
 		// MaxBodyBytes is the maximum size of a request body.
 		MaxBodyBytes int64
+		// MaxHeaderBytes is the maximum size of a request's head; 0 sets no limit beyond that of the process.
+		MaxHeaderBytes int64
+		// HeaderTimeout is the time in which a caller sends the head of a request; 0 selects that of the process.
+		HeaderTimeout time.Duration
 		// IdleTimeout is the time after which an idle connection is closed.
 		IdleTimeout time.Duration
 	}
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/quota"
 )
 
@@ -36,6 +37,7 @@
 		hopDuration *prometheus.HistogramVec
 		sends       *prometheus.CounterVec
 		quotas      *prometheus.CounterVec
+		refusals    *prometheus.CounterVec
 		servedCount atomic.Int64
 		routes      routeLabels
 	}
@@ -63,7 +65,11 @@
 			Help: "Attempts to send to upstreams with a limit by outcome: granted or refused by the quota's owner, share_granted or share_refused without it.",
 		}, []string{"outcome"}),
 	}
-	s.registry.MustRegister(s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
+	s.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberry_limit_refusals_total",
+		Help: "Requests and connections of clients that were refused or closed by a limit of this process, by cause: memory, connections, head_limit, head_timeout, body_stalled, answer_unread.",
+	}, []string{"cause"})
+	s.registry.MustRegister(s.refusals, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
 	return s
 }
 
@@ -84,6 +90,23 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// LimitRefusal counts a request or connection that was refused or closed by a limit of this process.
+func (s *Set) LimitRefusal(cause string) {
+	s.refusals.WithLabelValues(cause).Inc()
+}
+
+// ObserveMemory adds gauges of the memory budget and of the connections of clients.
+func (s *Set) ObserveMemory(usage func() memory.Usage, connections func() int) {
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+	}
+	s.registry.MustRegister(
+		gauge("gooseberry_memory_used_bytes", "Bytes that requests, answers and connections take from the budget.", func() float64 { return float64(usage().Used) }),
+		gauge("gooseberry_memory_limit_bytes", "The budget of requests, answers and connections in bytes.", func() float64 { return float64(usage().Limit) }),
+		gauge("gooseberry_client_connections", "Open connections of clients.", func() float64 { return float64(connections()) }),
+	)
+}
+
 // Handler returns a handler that serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/router/metric/metric_test.go
+++ b/router/metric/metric_test.go
@@ -11,6 +11,7 @@
 
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/metric"
 	"gooseberrypin.example/router/refusal"
 )
@@ -56,3 +57,21 @@
 	is.Equal(strings.Count(metricsText(s), "gooseberry_requests_total{"), 201)
 	is.True(strings.Contains(metricsText(s), `route="other"} 800`))
 }
+
+func TestMemoryMetrics(t *testing.T) {
+	is := is.New(t)
+	s := metric.NewSet()
+	b := memory.NewBudget(1000)
+	b.Charge(10)
+	s.ObserveMemory(b.Usage, func() int { return 3 })
+	s.LimitRefusal("memory")
+	page := metricsText(s)
+	for _, line := range []string{
+		`gooseberry_memory_used_bytes 10`,
+		`gooseberry_memory_limit_bytes 1000`,
+		`gooseberry_client_connections 3`,
+		`gooseberry_limit_refusals_total{cause="memory"} 1`,
+	} {
+		is.True(strings.Contains(page, line)) // the page has the line
+	}
+}
