--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
@@ -57,10 +58,11 @@
 		entries        func() int
 		crashes        *crashDetector
 		notifySuspects func()
-		answerMemory   byteBudget
-		quota          Quota
-		customerQuota  CustomerQuota
-		checkKeys      KeyCheck
+		// answerMemory is for requests without memory of their own.
+		answerMemory  *memory.Budget
+		quota         Quota
+		customerQuota CustomerQuota
+		checkKeys     KeyCheck
 		// speeds holds the learned speeds of engines; nil if they are not learned.
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
@@ -106,7 +108,7 @@
 		retryBurst:     defaultRetryBurst,
 		entries:        func() int { return 1 },
 		notifySuspects: func() {},
-		answerMemory:   byteBudget{limit: defaultAnswerBytes},
+		answerMemory:   memory.NewBudget(defaultAnswerBytes),
 		quota:          unlimited{},
 		customerQuota:  unlimitedCustomers{},
 		checkKeys:      func() revocation.Verdict { return revocation.Trusted{} },
@@ -150,9 +152,10 @@
 	return func(g *Gateway) { g.entries = entries }
 }
 
-// WithAnswerBytes bounds the memory, in bytes, of all answers that are buffered at the same time.
+// WithAnswerBytes bounds the memory, in bytes, of all answers that are buffered at the same time for requests without memory
+// of their own.
 func WithAnswerBytes(bytes int64) Option {
-	return func(g *Gateway) { g.answerMemory.limit = bytes }
+	return func(g *Gateway) { g.answerMemory = memory.NewBudget(bytes) }
 }
 
 // WithSuspectNotifier sets the function that is called when the suspects changed and other entries should receive
@@ -227,7 +230,9 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline(route))
 	defer cancel()
-	w := &activeRequest{gateway: g, request: r, table: table, route: route, customer: customer, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
+	held, release := g.allocation(r)
+	defer release()
+	w := &activeRequest{gateway: g, request: r, memory: held, table: table, route: route, customer: customer, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.poolState = g.poolState(w.pool)
 	if refused := w.takeCustomerQuota(ctx); refused != nil {
 		return refused
--- a/router/gateway/request.go
+++ b/router/gateway/request.go
@@ -6,6 +6,7 @@
 
 	"gooseberrypin.example/router/access"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/memory"
 )
 
 type (
@@ -37,6 +38,9 @@
 		// KeyDigest is the digest of the customer's key, if HasKey is true.
 		KeyDigest access.Digest
 		HasKey    bool
+		// Memory holds the body, and the answer while it is buffered; nil selects memory of the gateway. Its owner releases
+		// it after the request.
+		Memory *memory.Allocation
 	}
 
 	// Generation describes a request to a model, as its caller stated it.
