--- a/router/metric/metric_test.go
+++ b/router/metric/metric_test.go
@@ -12,7 +12,9 @@
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/metric"
+	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/speed"
 )
 
 func metricsText(s *metric.Set) string {
@@ -46,6 +48,26 @@
 	is.Equal(s.Served(), int64(1))
 }
 
+func TestUpstreamMetrics(t *testing.T) {
+	is := is.New(t)
+	s := metric.NewSet()
+	s.CollectUpstreams(func() []speed.Figure {
+		return []speed.Figure{{Upstream: "p1", Pool: "chat", Phase: "prefill", Slow: true}, {Upstream: "p2", Pool: "chat", Phase: "prefill"}, {Upstream: "g1", Pool: "chat", Phase: "decode"}}
+	}, func() []pace.Figure {
+		return []pace.Figure{{Upstream: "d1", Pool: "desk", Limit: 12.5, InFlight: 2, Cause: pace.Slow}, {Upstream: "d2", Pool: "desk", Limit: 10, InFlight: 1}}
+	})
+	page := metricsText(s)
+	for _, line := range []string{
+		`gooseberry_slow_upstreams{phase="prefill",pool="chat"} 1`,
+		`gooseberry_slow_upstreams{phase="decode",pool="chat"} 0`,
+		`gooseberry_pace_limit{pool="desk"} 22.5`,
+		`gooseberry_pace_in_flight{pool="desk"} 3`,
+		`gooseberry_pace_upstreams{cause="slow",pool="desk"} 1`,
+	} {
+		is.True(strings.Contains(page, line))
+	}
+}
+
 // The number of label values stays bounded when many different routes are served over time.
 func TestLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
