Speed: compute estimates in one pass, and count a slow decode engine's own prefill

A decode engine that was judged slow prefills a prompt itself only if that saves time at its own speed.

--- a/router/gateway/learn_internal_test.go
+++ b/router/gateway/learn_internal_test.go
@@ -115,3 +115,19 @@
 		is.True(n.expectedPrefillTime(members[3], members, promptTokens) > 3*slow/2)
 	})
 }
+
+// A slow decode engine prefills a prompt itself only if it saves time at its own speed.
+func TestSlowDecodeEngineLeavesPromptsToPrefillEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, decodeEngines := learned([]float64{1, 1, 1, 6}, upstream.PhaseDecode)
+		n.route = &ingress.Route{TargetLatency: 300 * time.Millisecond}
+		n.poolState.estimates.recordPrefill(promptTokens, promptTokens*tokenTime)
+		prefillEngine := &upstream.Member{Upstream: upstream.Upstream{ID: "p"}, History: &upstream.History{}}
+		n.gateway.entries = func() int { return 1 }
+		prefillEngine.Begin(4 * promptTokens)
+		members := []*upstream.Member{prefillEngine}
+		is.True(n.decodeEnginePrefillsSooner(prefillEngine, members, decodeEngines[0]))
+		is.True(!n.decodeEnginePrefillsSooner(prefillEngine, members, decodeEngines[3]))
+	})
+}
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -40,7 +40,7 @@
 			// Without a prefill engine, the decode engine prefills the prompt itself.
 			return nil, true
 		}
-		if n.decodeEnginePrefillsSooner(m, members) {
+		if n.decodeEnginePrefillsSooner(m, members, grant.Member) {
 			return nil, true
 		}
 		if refused := n.refuseQuarantined(n.ran); refused != nil {
@@ -153,8 +153,19 @@
 // decodeEnginePrefillsSooner reports whether the decode engine should prefill the prompt itself: the prefill
 // engine with the shortest queue would miss the latency target, and the decode engine is faster. This happens
 // when prefill engines are lost and in long bursts.
-func (n *generation) decodeEnginePrefillsSooner(m *upstream.Member, members []*upstream.Member) bool {
+func (n *generation) decodeEnginePrefillsSooner(m *upstream.Member, members []*upstream.Member, decodeEngine *upstream.Member) bool {
 	promptTokens := n.request.Generation.PromptTokens
 	wait := n.expectedPrefillTime(m, members, promptTokens)
-	return wait > time.Duration(maxPrefillWaitFactor*float64(n.route.TargetLatency)) && n.poolState.estimates.prefillTime(decodePrefillSlowdown*promptTokens) < wait
+	slowdown := decodePrefillSlowdown * n.relativeTime(decodeEngine)
+	return wait > time.Duration(maxPrefillWaitFactor*float64(n.route.TargetLatency)) && n.poolState.estimates.prefillTime(int(slowdown*float64(promptTokens))) < wait
+}
+
+// relativeTime returns how many times longer than the median of its pool a decode engine takes, or 1 where engines do not
+// differ.
+func (n *generation) relativeTime(m *upstream.Member) float64 {
+	speeds := n.speedsOf(upstream.PhaseDecode)
+	if !speeds.Uneven() {
+		return 1
+	}
+	return float64(speeds.PerToken(m)) / float64(max(1, speeds.Median()))
 }
--- a/router/speed/speed.go
+++ b/router/speed/speed.go
@@ -161,14 +161,22 @@
 	if b, number := &e.bests[interval(s.Observed)%bestIntervals], interval(s.Observed); number > b.interval || number == b.interval && s.PerToken < b.perToken {
 		*b = best{number, s.PerToken}
 	}
-	i, _ := slices.BinarySearchFunc(e.samples, s, Sample.compare)
-	e.samples = slices.Insert(e.samples, i, s)
-	e.samples = e.samples[:min(len(e.samples), maxSamples)]
+	e.samples = insertNewest(e.samples, s, maxSamples)
+}
+
+// insertNewest inserts a sample into a list that is ordered from the newest to the oldest, and keeps a number of the newest.
+func insertNewest(samples []Sample, s Sample, keep int) []Sample {
+	i, _ := slices.BinarySearchFunc(samples, s, Sample.compare)
+	if i >= keep {
+		return samples
+	}
+	samples = slices.Insert(samples, i, s)
+	return samples[:min(len(samples), keep)]
 }
 
 // compare orders samples from the newest to the oldest.
 func (s Sample) compare(other Sample) int {
-	return cmp.Or(other.Observed.Compare(s.Observed), cmp.Compare(s.ID, other.ID))
+	return cmp.Or(other.Observed.Compare(s.Observed), cmp.Compare(s.ID, other.ID), cmp.Compare(s.Engine, other.Engine))
 }
 
 // Shared returns samples to send to other entries, at most MaxShared, the most useful first: the newest one of each engine,
@@ -180,16 +188,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	var shared, round []Sample
+	shared := make([]Sample, 0, MaxShared+1)
+	round := make([]Sample, 0, MaxShared+1)
 	for rank := 0; rank < maxSamples && len(shared) < MaxShared; rank++ {
 		round = round[:0]
 		for _, e := range t.engines {
 			if rank < len(e.samples) {
-				round = append(round, e.samples[rank])
+				round = insertNewest(round, e.samples[rank], MaxShared-len(shared))
 			}
 		}
-		slices.SortFunc(round, Sample.compare)
-		shared = append(shared, round[:min(len(round), MaxShared-len(shared))]...)
+		shared = append(shared, round...)
 	}
 	return shared
 }
--- a/router/speed/view.go
+++ b/router/speed/view.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// viewAge is how long a view is used before it is computed again.
-	viewAge = 100 * time.Millisecond
+	// viewAge and viewAgePerEngine bound how long a view is used before it is computed again: one of 700 engines takes about
+	// half a millisecond.
+	viewAge          = 100 * time.Millisecond
+	viewAgePerEngine = 500 * time.Microsecond
 	// prefillHalfLife and decodeHalfLife are the times in which the weight of a sample halves. The time of a prompt
 	// follows the queue of the engine, while the speed at which it decodes changes little.
 	prefillHalfLife = 2 * time.Second
@@ -35,7 +37,8 @@
 		uneven   bool
 		median   time.Duration
 		perToken map[string]time.Duration
-		computed time.Time
+		// expires is when the view is computed again.
+		expires time.Time
 	}
 
 	// Figure is the learned speed of an engine in a state dump.
@@ -57,11 +60,12 @@
 		phase upstream.Phase
 	}
 
-	// judged is an engine with enough samples to be judged.
-	judged struct {
+	// known is an engine with samples. sum and weight are those of weigh, and best is that of the function best.
+	known struct {
 		*engine
-		member *upstream.Member
-		best   time.Duration
+		member      *upstream.Member
+		sum, weight float64
+		best        time.Duration
 	}
 )
 
@@ -89,7 +93,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := role{pool, phase}
-	if v, found := t.views[r]; found && now.Sub(v.computed) < viewAge {
+	if v, found := t.views[r]; found && now.Before(v.expires) {
 		return v
 	}
 	v := t.compute(members(), now)
@@ -99,35 +103,29 @@
 
 // compute judges the engines of a pool and estimates their speeds. The caller holds the lock.
 func (t *Table) compute(members []*upstream.Member, now time.Time) *View {
-	v := &View{perToken: make(map[string]time.Duration, len(members)), computed: now}
-	var list []judged
+	v := &View{expires: now.Add(viewAge + time.Duration(len(members))*viewAgePerEngine)}
+	list := make([]known, 0, len(members))
 	means := make([]float64, 0, len(members))
 	for _, m := range members {
-		e, found := t.engines[Key(m.Upstream)]
-		if !found {
-			continue
-		}
-		if sum, weight := e.weigh(m.Phase, now); weight > 0 {
-			means = append(means, sum/weight)
-		}
-		if len(e.samples) >= minSamples {
-			list = append(list, judged{e, m, e.best(now)})
+		if e, found := t.engines[Key(m.Upstream)]; found && len(e.samples) > 0 {
+			k := known{engine: e, member: m, best: e.best(now)}
+			k.sum, k.weight = e.weigh(m.Phase, now)
+			list = append(list, k)
+			means = append(means, k.sum/k.weight)
 		}
 	}
-	if len(means) == 0 {
+	if len(list) == 0 {
 		return v
 	}
 	slices.Sort(means)
 	median := means[len(means)/2]
 	v.median = time.Duration(median)
-	for _, m := range members {
-		if e, found := t.engines[Key(m.Upstream)]; found {
-			sum, weight := e.weigh(m.Phase, now)
-			prior := priorTokens(m.Phase)
-			v.perToken[m.ID] = time.Duration((sum + prior*median) / (weight + prior))
-		}
+	v.perToken = make(map[string]time.Duration, len(list))
+	for _, k := range list {
+		prior := priorTokens(k.member.Phase)
+		v.perToken[k.member.ID] = time.Duration((k.sum + prior*median) / (k.weight + prior))
 	}
-	v.uneven = t.judge(list, now)
+	v.uneven = t.judge(slices.DeleteFunc(list, func(k known) bool { return len(k.samples) < minSamples }), now)
 	return v
 }
 
@@ -138,7 +136,7 @@
 		halfLife = decodeHalfLife
 	}
 	for _, s := range e.samples {
-		weight := float64(s.Tokens) * math.Exp2(-now.Sub(s.Observed).Seconds()/halfLife.Seconds())
+		weight := float64(s.Tokens) * math.Exp2(-float64(now.Sub(s.Observed))/float64(halfLife))
 		sum += weight * float64(s.PerToken)
 		tokens += weight
 	}
@@ -171,11 +169,11 @@
 // judge updates the verdicts on engines, and reports whether any of them is slow. An engine becomes slow when it differs
 // by the factor from the faster engines of its pool, and normal again when it differs by half as much. The caller holds
 // the lock.
-func (t *Table) judge(list []judged, now time.Time) bool {
+func (t *Table) judge(list []known, now time.Time) bool {
 	if len(list) < 2 {
 		return false
 	}
-	slices.SortFunc(list, func(a, b judged) int { return int(a.best - b.best) })
+	slices.SortFunc(list, func(a, b known) int { return int(a.best - b.best) })
 	reference := list[int(referenceQuantile*float64(len(list)-1))].best
 	uneven := false
 	for _, j := range list {
@@ -197,7 +195,7 @@
 	return uneven
 }
 
-func (t *Table) logVerdict(j judged, reference time.Duration) {
+func (t *Table) logVerdict(j known, reference time.Duration) {
 	verdict := event.UpstreamNormal
 	if j.slow {
 		verdict = event.UpstreamSlow
