--- a/router/gateway/customer_quota.go
+++ b/router/gateway/customer_quota.go
@@ -57,7 +57,7 @@
 	case quota.Allowed:
 		ar.charge.taken = ar.charge.amount
 	case quota.Denied:
-		return refusal.New(refusal.RanNo, refusal.QuotaExceeded, d.RetryAfter, "the quota of %s leaves no %v %v for a time",
+		return refusal.New(refusal.RanNo, refusal.QuotaExceeded, d.RetryAfter, "the quota of %s is used up for a time, the request counts as %v %v",
 			ar.customer.Name, ar.charge.amount, ar.customer.Quota.Unit)
 	}
 	return nil
--- a/router/quota/allocator.go
+++ b/router/quota/allocator.go
@@ -188,11 +188,13 @@
 		p = &part{}
 		e.parts[use.Name] = p
 	}
+	// The time since the last report adds nothing beyond the capacity, as the entry may have spent what it held just now.
+	covered := min(1, c.division.partition*a.coverage)
+	c.fill(covered, now)
 	// What the entry has given back is free again. What it held and holds no longer is spent.
 	c.free.level += min(use.Returned, max(0, p.Held-use.Held))
 	c.replace(p, use)
-	covered := min(1, c.division.partition*a.coverage)
-	c.fill(covered, now)
+	c.free.level = min(c.free.level, covered*c.division.capacity-c.held)
 	share := CustomerShare{Name: use.Name, Demand: c.demand, Granted: c.granted, Available: c.free.level + c.held}
 	if c.limit.PerSecond <= 0 {
 		return share
