Quarantine: tell common parts beside many suspects

Cause: updates told which parts are common only where fewer than 28 suspects left room, so after a burst, when they matter, an entry that had just started did not learn them. Change: 4 of the 28 places are kept for common parts.

--- a/router/quarantine/common.go
+++ b/router/quarantine/common.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 const (
 	// maxCommonParts bounds the parts that are taken for common. It is the number of suspects that processes exchange.
@@ -48,3 +51,17 @@
 		c.add(name)
 	}
 }
+
+// first returns the names of a number of the parts, those that were added again first.
+func (c *commonSet) first(number int) []string {
+	var again, once []string
+	for _, part := range c.parts {
+		if part.again {
+			again = append(again, part.name)
+		} else {
+			once = append(once, part.name)
+		}
+	}
+	names := slices.Concat(again, once)
+	return names[:min(len(names), number)]
+}
--- a/router/quarantine/exchange.go
+++ b/router/quarantine/exchange.go
@@ -17,6 +17,9 @@
 	// others accept.
 	maxRecent      = 512
 	maxRecentBytes = 24 << 10
+	// minSharedCommon is the number of common parts that are sent also beside many suspects: they tell the harmless ones
+	// among these.
+	minSharedCommon = 4
 	// mergeTolerance is the difference in expiry that Merge ignores, so that two tables do not extend each
 	// other's entries with every exchange.
 	mergeTolerance = time.Second
@@ -68,15 +71,15 @@
 	return list
 }
 
-// Shared returns the suspects to send to other processes: those of Urgent and, where these are fewer than the given number,
-// parts that upstreams have answered, which have no crashes. A process that has served few requests, as after its start,
-// learns from them which parts are common, and does not take those for the cause of crashes.
+// Shared returns the suspects to send to other processes: those of Urgent, and parts that upstreams have answered, which have
+// no crashes, at least minSharedCommon and up to the given number with the suspects. A process that has served few requests, as
+// after its start, learns from them which parts are common, and does not take those for the cause of crashes.
 func (t *Table) Shared(now time.Time, most int) []Suspect {
-	list := t.Urgent(now, most)
+	list := t.Urgent(now, max(0, most-minSharedCommon))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range t.common.parts[:min(len(t.common.parts), max(0, most-len(list)))] {
-		list = append(list, Suspect{Fingerprint: part.name, Part: true, Answered: true, Remaining: t.term})
+	for _, name := range t.common.first(max(minSharedCommon, most-len(list))) {
+		list = append(list, Suspect{Fingerprint: name, Part: true, Answered: true, Remaining: t.term})
 	}
 	return list
 }
