upstream: an answer after a restart counts for the later incarnation

Cause: a server that restarts under its ID answers requests that were sent before its new registration was known. What such an answer states (it leaves, it asks for a pause) was recorded for the earlier incarnation only, and the later one went on to get requests. Change: the history of an incarnation knows that of its successor at the same ID and address. Result: TestAnswerAfterARestartCountsForTheLaterIncarnation, cases leaves and asks_for_a_pause red before (1 != 0), green after.

--- a/router/upstream/departure.go
+++ b/router/upstream/departure.go
@@ -45,7 +45,11 @@
 		l.history.returned()
 		return l.history
 	}
-	return &History{leavingAt: l.announcementOf(u)}
+	next := &History{leavingAt: l.announcementOf(u)}
+	if u.Address == l.address && u.Started.After(l.started) && !l.started.IsZero() {
+		l.history.succeed(next, u.Started)
+	}
+	return next
 }
 
 // announcementOf returns when the incarnation that is published now, under the same ID, announced that it leaves, or zero. A
--- a/router/upstream/lapse_test.go
+++ b/router/upstream/lapse_test.go
@@ -97,3 +97,40 @@
 		is.Equal(len(d.Ready("desk", upstream.PhaseNone, time.Now())), 1)
 	})
 }
+
+// Guards against requests to a server that has announced that it leaves, or has asked for a pause, in its answer to a request
+// that was sent before its restart under the same ID was published: the answer comes from the later incarnation.
+func TestAnswerAfterARestartCountsForTheLaterIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		change func(next *upstream.Upstream)
+		answer func(m *upstream.Member)
+		want   int
+	}{
+		"leaves":                {func(*upstream.Upstream) {}, func(m *upstream.Member) { m.Leaves(time.Now()) }, 0},
+		"asks for a pause":      {func(*upstream.Upstream) {}, func(m *upstream.Member) { m.BackOff(time.Now(), time.Minute) }, 0},
+		"at another address":    {func(u *upstream.Upstream) { u.Address = "10.0.0.2:1" }, func(m *upstream.Member) { m.Leaves(time.Now()) }, 1},
+		"starts later":          {func(u *upstream.Upstream) { u.Started = time.Now().Add(time.Hour) }, func(m *upstream.Member) { m.Leaves(time.Now()) }, 1},
+		"unknown start":         {func(u *upstream.Upstream) { u.Started = time.Time{} }, func(m *upstream.Member) { m.Leaves(time.Now()) }, 1},
+		"another ID altogether": {func(u *upstream.Upstream) { u.ID = "b" }, func(m *upstream.Member) { m.Leaves(time.Now()) }, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first := upstream.Upstream{ID: "a", Pool: "p", Address: "10.0.0.1:1", Started: time.Now()}
+				d := upstream.NewDirectory()
+				d.Put(first)
+				m := d.Ready("p", upstream.PhaseNone, time.Now())[0]
+				time.Sleep(time.Second)
+				next := first
+				next.Started = time.Now()
+				tt.change(&next)
+				d.Remove("a", time.Now())
+				d.Put(next)
+				time.Sleep(time.Second)
+				tt.answer(m)
+				is.Equal(len(d.Ready("p", upstream.PhaseNone, time.Now())), tt.want)
+			})
+		})
+	}
+}
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -79,6 +79,10 @@
 		backoffUntil time.Time
 		// leavingAt is when the upstream announced last that it leaves; zero if it has not.
 		leavingAt time.Time
+		// successor is the history of a later incarnation with the same ID and address, which started at successorStarted; nil
+		// if there is none. Answers to requests that were sent before it was published are recorded here.
+		successor        *History
+		successorStarted time.Time
 	}
 
 	// Load is the load that this process has in flight at an upstream.
@@ -207,6 +211,9 @@
 	if until := now.Add(wait); until.After(h.backoffUntil) {
 		h.backoffUntil = until
 	}
+	if h.successorRanAt(now) {
+		h.successor.BackOff(now, wait)
+	}
 }
 
 // Backoff returns for how long the upstream has asked for no requests.
@@ -223,9 +230,27 @@
 	defer h.mu.Unlock()
 	isNew := h.leavingAt.IsZero()
 	h.leavingAt = now
+	if h.successorRanAt(now) {
+		isNew = h.successor.Leaves(now)
+	}
 	return isNew
 }
 
+// succeed records the history of a later incarnation with the same ID and address.
+func (h *History) succeed(next *History, started time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if next != h {
+		h.successor, h.successorStarted = next, started
+	}
+}
+
+// successorRanAt reports whether a later incarnation was running at a time. An answer that arrives then at a request to this
+// incarnation comes from the later one, as both have the same ID and address. The caller holds the lock.
+func (h *History) successorRanAt(now time.Time) bool {
+	return h.successor != nil && h.successorStarted.Before(now)
+}
+
 // lastLeavingAt returns when the upstream announced last that it leaves; zero if it has not.
 func (h *History) lastLeavingAt() time.Time {
 	h.mu.Lock()
