Reservation: order and pace competing generations by their standing

Within an entry, urgent generations that were late came after less urgent ones with a longer target, and across entries nothing favoured either: engines grant memory to whoever asks first.

A waiter now has a standing: the rank of its priority, and whether it exceeds its customer's max-min fair share by the loads that the allocator of the quotas states. The queue orders by it, lower standings ask engines more rarely while memory is scarce, they are refused first, and return later. It is in force only with customers, or where routes of a pool differ in priority.

--- /dev/null
+++ b/router/gateway/contention.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"gooseberrypin.example/router/contention"
+	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/quota"
+)
+
+type (
+	// poolOrder caches the ranks of the requests for a pool by a table.
+	poolOrder struct {
+		mu    sync.Mutex
+		table *ingress.Table
+		ranks []int
+		units map[string]int
+	}
+)
+
+// WithCustomerLoads sets the function that returns the loads of customers at all entries, and the time of which they are.
+// By default they are not known, and all customers count as within their fair shares.
+func WithCustomerLoads(loads func() ([]quota.CustomerLoad, time.Time)) Option {
+	return func(g *Gateway) { g.shares = contention.NewShares(loads) }
+}
+
+// newStanding returns the place of the generation among those that compete for the decode memory of the pool. It is in force
+// if there are customers, or the routes of the pool have different priorities.
+func (n *generation) newStanding() contention.Standing {
+	ranks, units := n.poolState.order.of(n.table, n.pool.Name)
+	if !n.table.HasCustomers() && len(ranks) < 2 {
+		return contention.Standing{}
+	}
+	place, _ := slices.BinarySearch(ranks, n.rank())
+	s := contention.Standing{InForce: true, Rank: place, Ranks: len(ranks)}
+	if n.customer != nil && n.gateway.shares != nil {
+		within := n.gateway.shares.WithinPart(n.customer.Name, n.table, func(name string) int { return units[name] })
+		s.BeyondShare = within < 1 && n.gateway.draw() >= within
+	}
+	return s
+}
+
+// of returns the ranks of the requests for a pool and the units of the customers.
+func (o *poolOrder) of(t *ingress.Table, pool string) (ranks []int, units map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.table != t {
+		o.table, o.ranks, o.units = t, t.Ranks(pool), make(map[string]int)
+		for _, c := range t.Configuration.Customers {
+			o.units[c.Name] = int(c.Quota.Unit)
+		}
+	}
+	return o.ranks, o.units
+}
+
+// draw returns a random number from 0 to 1.
+func (g *Gateway) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/pace"
@@ -65,6 +66,8 @@
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
 		pace *pace.Limiter
+		// shares holds the fair shares of customers; nil if their loads are not known.
+		shares *contention.Shares
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -91,6 +94,7 @@
 		estimates   *estimates
 		// refused holds the refused generations that their callers may send again.
 		refused refusedRequests
+		order   poolOrder
 	}
 )
 
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
@@ -46,6 +47,8 @@
 		fingerprint uint64
 		// firstArrival is when the first attempt of the request arrived.
 		firstArrival time.Time
+		// standing is the place of the generation among those that compete for decode memory.
+		standing contention.Standing
 		// engineRequests counts the sends that reached engines, except the first accepted prefill.
 		engineRequests int
 		// prefillAccepted reports whether an engine has accepted a prefill.
@@ -89,6 +92,7 @@
 	}
 	n.fingerprint = n.request.fingerprint()
 	n.firstArrival = n.poolState.refused.firstArrival(n.fingerprint, n.request.Arrived)
+	n.standing = n.newStanding()
 	n.record.SinceFirstTry = n.request.Arrived.Sub(n.firstArrival)
 	refused := n.rounds(ctx)
 	n.poolState.retryBudget.Return(n.reservedRetries)
@@ -267,7 +271,7 @@
 // completeWaiter sets the tokens, the priority and the expected run of a waiter, and limits its wait to the deadline of the
 // caller.
 func (n *generation) completeWaiter(w reservation.Waiter) reservation.Waiter {
-	w.Tokens, w.Priority = n.record.Tokens, n.rank()
+	w.Tokens, w.Priority, w.Standing = n.record.Tokens, n.rank(), n.standing
 	w.Deadline = n.request.deadline(n.route)
 	if w.Expires.After(w.Deadline) {
 		w.Expires = w.Deadline
@@ -290,6 +294,9 @@
 
 // retryAfter returns the retry delay for the caller of a refused generation.
 func (n *generation) retryAfter() time.Duration {
+	if n.standing.InForce {
+		return n.standing.RetryAfter(n.route.TargetLatency, time.Until(n.request.deadline(n.route)), n.gateway.draw())
+	}
 	return time.Duration(generationRetryAfterFactor * float64(n.route.TargetLatency))
 }
 
--- a/router/ingress/priority.go
+++ b/router/ingress/priority.go
@@ -53,6 +53,25 @@
 	return customer*max(1, len(p.routes)) + position(p.routes, r.Priority)
 }
 
+// Ranks returns the ranks that requests for streams of a pool may have, in ascending order.
+func (t *Table) Ranks(pool string) []int {
+	var ranks []int
+	for i := range t.Configuration.Routes {
+		r := &t.Configuration.Routes[i]
+		if _, streaming := r.Kind.(Streaming); !streaming || !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool }) {
+			continue
+		}
+		if len(t.priorities.customers) == 0 {
+			ranks = append(ranks, r.Priority)
+		}
+		for n := range t.priorities.customers {
+			ranks = append(ranks, n*max(1, len(t.priorities.routes))+position(t.priorities.routes, r.Priority))
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
 // EnginePriority returns the priority from 0 to 9 that engines receive for a rank. A higher rank never has a lower priority,
 // and ranks have different priorities if there are at most ten.
 func (t *Table) EnginePriority(rank int) int {
--- a/router/quota/allocator.go
+++ b/router/quota/allocator.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,6 +38,8 @@
 	refreshInterval = 50 * time.Millisecond
 	// joinGrace is how long after its start an allocator divides by the assumed number of entries: it has not met all yet.
 	joinGrace = 3 * time.Second
+	// maxOthers bounds an answer to 2 KB for customers that the report does not name.
+	maxOthers = 32
 )
 
 type (
@@ -167,9 +171,24 @@
 		}
 		answer.Customers = append(answer.Customers, a.answer(c, e, use, now))
 	}
+	answer.Others = a.otherLoads(r)
 	return answer, true
 }
 
+// otherLoads returns the largest loads of customers that a report does not name. The caller holds the lock.
+func (a *Allocator) otherLoads(r CustomerReport) []CustomerLoad {
+	var others []CustomerLoad
+	for name, c := range a.customers {
+		if c.demand > 0 && !slices.ContainsFunc(r.Customers, func(u CustomerUse) bool { return u.Name == name }) {
+			others = append(others, CustomerLoad{Name: name, Demand: math.Round(c.demand), Granted: math.Round(c.granted)})
+		}
+	}
+	slices.SortFunc(others, func(a, b CustomerLoad) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Name, b.Name))
+	})
+	return others[:min(len(others), maxOthers)]
+}
+
 // Loads returns the load of each customer at the entries that report here.
 func (a *Allocator) Loads() []CustomerLoad {
 	a.mu.Lock()
--- a/router/quota/customer.go
+++ b/router/quota/customer.go
@@ -101,6 +101,8 @@
 		Interval  time.Duration   `json:"interval_ns"`
 		EarlyGap  time.Duration   `json:"early_gap_ns"`
 		Customers []CustomerShare `json:"customers"`
+		// Others are the loads of customers that the report does not name, at most maxOthers.
+		Others []CustomerLoad `json:"others,omitempty"`
 	}
 
 	// CustomerShare is what the allocator answers about one customer.
--- a/router/quota/customers.go
+++ b/router/quota/customers.go
@@ -184,6 +184,14 @@
 	s.held -= amount
 }
 
+// LoadsAt returns the loads of all customers in the fleet, as the allocator stated them last, and the time of its statement.
+func (c *Customers) LoadsAt() ([]CustomerLoad, time.Time) {
+	loads := c.Loads()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return loads, c.link.answered
+}
+
 // Loads returns the loads of all customers in the fleet, as the allocator stated them last.
 func (c *Customers) Loads() []CustomerLoad {
 	c.mu.Lock()
--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -228,6 +228,11 @@
 			s.deniedUntil = now.Add(shortGaps * l.earlyGap)
 		}
 	}
+	for _, load := range answer.Others {
+		if s, found := c.states[load.Name]; found {
+			s.share.Demand, s.share.Granted = load.Demand, load.Granted
+		}
+	}
 	c.notify()
 }
 
--- a/router/reservation/engine.go
+++ b/router/reservation/engine.go
@@ -28,7 +28,7 @@
 // mayHaveMemory reports whether an attempt for a waiter may start at an engine, one of a number of members.
 func (q *Queue) mayHaveMemory(t *ticket, m *upstream.Member, members int, now time.Time) bool {
 	engine := q.engineMemory(m.ID)
-	if engine.reserving || m.ID == t.Avoid && members > 1 {
+	if engine.reserving || m.ID == t.Avoid && members > 1 || q.leavesToLarge(t, m, now) {
 		return false
 	}
 	return engine.refusedTokens == 0 || t.Tokens < engine.refusedTokens || !now.Before(engine.retryAt)
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/speed"
 	"gooseberrypin.example/router/upstream"
 )
@@ -45,6 +46,8 @@
 		Expires time.Time
 		// Priority is the waiter's priority. 0 is the most urgent.
 		Priority int
+		// Standing is the waiter's place among the waiters of all entries, where it is in force.
+		Standing contention.Standing
 		// Resumed reports whether the caller has already received a part of the answer.
 		Resumed bool
 		// OutputTokens is the likely length of the output, and Startup the expected time from a grant to the first event.
@@ -95,6 +98,7 @@
 		attemptInterval time.Duration
 		// nextAttempt is the earliest time of the next paced attempt.
 		nextAttempt time.Time
+		pacing      pacing
 	}
 
 	// Option configures a Queue.
@@ -157,6 +161,7 @@
 	q.mu.Lock()
 	now := time.Now()
 	q.waiting = append(q.waiting, t)
+	q.pacing.addSize(t.Tokens)
 	q.schedule(now)
 	if q.cannotMeetTarget(t, now) {
 		q.remove(t)
@@ -209,11 +214,15 @@
 		return
 	}
 	rank(q.waiting, now)
+	q.refuseOutranked(now)
 	members := q.members()
 	q.pruneEngines(members)
+	if standingInForce(q.waiting) {
+		q.pacing.chooseLarge(members, now)
+	}
 	q.attemptInterval = engineAttemptInterval * time.Duration(q.entries()) / time.Duration(max(1, len(members)))
 	for _, t := range q.waiting {
-		if t.reserving || t.class(now) == late && now.Sub(q.lastLateAttempt) < lateAttemptInterval || t.attempts >= unpacedAttempts && now.Before(q.nextAttempt) {
+		if t.reserving || now.Before(q.mayAttemptAt(t, now)) {
 			continue
 		}
 		if m := q.choose(t, members, now); m != nil {
@@ -280,8 +289,8 @@
 	if t.class(now) == late {
 		q.lastLateAttempt = now
 	}
-	if t.attempts >= unpacedAttempts {
-		q.nextAttempt = now.Add(q.attemptInterval)
+	if t.attempts >= q.unpaced(t, now) {
+		q.nextAttempt, q.pacing.last = now.Add(q.attemptInterval), now
 	}
 	t.reserving = true
 	t.attempts++
@@ -316,6 +325,7 @@
 			engine.refusedTokens = t.Tokens
 		}
 		engine.retryAt = now.Add(q.recheckInterval)
+		q.pacing.refused = now
 		q.recordFull(engine, t, m, now)
 	case Limited:
 		engine.refusedTokens, engine.retryAt = 1, now.Add(o.RetryAfter)
@@ -348,6 +358,9 @@
 		}
 	}
 	for _, t := range q.waiting {
+		if at := q.mayAttemptAt(t, now); t.Standing.InForce && !t.reserving && at.After(now) && at.Before(wakeAt) {
+			wakeAt = at
+		}
 		for _, deadline := range []time.Time{t.ExpiresIfContended, t.Expires} {
 			if deadline.After(now) && deadline.Before(wakeAt) {
 				wakeAt = deadline
