Reservation: pace the attempts of all entries by standing, within the same total

A queue with only lower standings polled full engines as often as one with urgent waiters, and large generations found no engine with enough free memory.

Lower standings pause longer, and higher ones spend what was saved up, so that all entries together ask no more often.

--- a/router/contention/standing.go
+++ b/router/contention/standing.go
@@ -9,12 +9,17 @@
 )
 
 const (
-	// maxAttemptFactor is the attempt factor of the lowest standing. An entry with only such waiters asks a pool of as many
-	// engines once in 0.1 s for each engine, so memory that nobody of a higher standing wants is unused for a fortieth of the
-	// time that a generation holds it.
-	maxAttemptFactor = 8
-	// lateFactor multiplies the factor of requests past their target, up to maxAttemptFactor.
-	lateFactor = 8
+	// highestFactor and lowestFactor are the attempt factors of the most and the least urgent priority of a pool. An entry
+	// with only the least urgent waiters asks a pool of as many engines once in 80 ms for each engine, so memory that nobody
+	// else wants is unused for a fiftieth of the time that a generation holds it.
+	highestFactor = 0.25
+	lowestFactor  = 6
+	// beyondFactor multiplies the factor of requests beyond the fair share of their customer, and lateFactor that of requests
+	// past their target: their answers are worth less.
+	beyondFactor = 3
+	lateFactor   = 8
+	// maxFactor bounds the factor, so that memory is found within a tenth of the time that a generation holds it.
+	maxFactor = 24
 	// retryTargets times the latency target is the least retry delay, and up to as much is added by standing and by chance.
 	retryTargets = 1.5
 	// retryPart of the time that callers have left is the longest retry delay that they honour, a third, less the time of the
@@ -40,16 +45,18 @@
 	return cmp.Or(cmp.Compare(s.Rank, other.Rank), cmp.Compare(asInt(s.BeyondShare), asInt(other.BeyondShare)))
 }
 
-// AttemptFactor returns the factor of the pause between two requests for memory. It is 1 for the highest standing and
-// grows evenly to that of the lowest one, so that memory that any engine frees goes to the higher standing of all entries.
+// AttemptFactor returns the factor of the pause between two requests for memory, by which memory that any engine frees goes
+// to the higher standing of all entries.
 func (s Standing) AttemptFactor(late bool) float64 {
-	place := 2*s.Rank + asInt(s.BeyondShare)
-	last := 2*max(1, s.Ranks) - 1
-	factor := math.Pow(maxAttemptFactor, min(1, float64(place)/float64(last)))
+	place := float64(s.Rank) / float64(max(1, s.Ranks-1))
+	factor := highestFactor * math.Pow(lowestFactor/highestFactor, min(1, place))
+	if s.BeyondShare {
+		factor *= beyondFactor
+	}
 	if late {
-		factor = min(maxAttemptFactor, lateFactor*factor)
+		factor *= lateFactor
 	}
-	return factor
+	return min(maxFactor, factor)
 }
 
 // RetryAfter returns the retry delay of a refused request with a latency target and a time that its caller has left.
--- a/router/reservation/pacing.go
+++ b/router/reservation/pacing.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"math"
 	"time"
 
 	"gooseberrypin.example/router/rendezvous"
@@ -12,6 +13,9 @@
 	contendedTime = time.Second
 	// largeFactor times the mean size is the size from which a generation is large. About a tenth is.
 	largeFactor = 1.6
+	// maxCredit is the number of paced attempts that a queue saves up while it makes fewer. Higher standings spend them at
+	// shorter intervals, so that all entries together ask no more often.
+	maxCredit = 10
 	// sizeWeight is the weight of a new size in the mean: some 20 generations, which an entry gets in 10 s.
 	sizeWeight = 0.05
 	// largeDivisor divides the engines: while memory is scarce, one in so many is left to large generations, because engines
@@ -31,6 +35,8 @@
 	pacing struct {
 		// last is the time of the last paced attempt, and refused that of the last refusal of an engine.
 		last, refused time.Time
+		// credit is the number of paced attempts that were saved up at the time of the last one.
+		credit float64
 		// meanSize is the mean of the tokens of recent waiters.
 		meanSize float64
 		// large contains the engines that are left to large generations, as chosen at a time from a number of members.
@@ -47,6 +53,17 @@
 	p.meanSize += sizeWeight * (float64(tokens) - p.meanSize)
 }
 
+// creditAt returns the number of paced attempts that may be made at once: one for each interval without one, at most
+// maxCredit.
+func (p *pacing) creditAt(now time.Time, interval time.Duration) float64 {
+	return min(maxCredit, p.credit+float64(now.Sub(p.last))/float64(max(1, interval)))
+}
+
+// spend records a paced attempt.
+func (p *pacing) spend(now time.Time, interval time.Duration) {
+	p.credit, p.last = max(0, p.creditAt(now, interval)-1), now
+}
+
 func (p *pacing) contended(now time.Time) bool {
 	return !p.refused.IsZero() && now.Sub(p.refused) < contendedTime
 }
@@ -56,7 +73,7 @@
 	if !t.Standing.InForce || t.Resumed || !q.pacing.contended(now) {
 		return unpacedAttempts
 	}
-	return max(1, int(unpacedAttempts/t.Standing.AttemptFactor(t.class(now) == late)))
+	return max(1, int(unpacedAttempts/max(1, t.Standing.AttemptFactor(t.class(now) == late))))
 }
 
 // mayAttemptAt returns the earliest time of the next attempt for a waiter. Where standing is in force, a lower standing
@@ -67,6 +84,9 @@
 		if t.attempts < q.unpaced(t, now) {
 			return now
 		}
+		if missing := 1 - q.pacing.creditAt(now, q.attemptInterval); missing > 0 {
+			return now.Add(time.Duration(math.Ceil(missing * float64(q.attemptInterval))))
+		}
 		factor := 1.0
 		if !t.Resumed {
 			factor = t.Standing.AttemptFactor(isLate)
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -290,7 +290,8 @@
 		q.lastLateAttempt = now
 	}
 	if t.attempts >= q.unpaced(t, now) {
-		q.nextAttempt, q.pacing.last = now.Add(q.attemptInterval), now
+		q.nextAttempt = now.Add(q.attemptInterval)
+		q.pacing.spend(now, q.attemptInterval)
 	}
 	t.reserving = true
 	t.attempts++
