Gateway: log the standing of generations and why they got no memory

A refused generation's line did not tell whether it had waited for too long, was predicted to be late, or was refused after others of a higher standing.

--- a/router/contention/standing.go
+++ b/router/contention/standing.go
@@ -72,14 +72,6 @@
 	return max(0, time.Duration(delay))
 }
 
-// String returns the standing in log lines.
-func (s Standing) String() string {
-	if s.BeyondShare {
-		return "beyond_share"
-	}
-	return "within_share"
-}
-
 func asInt(b bool) int {
 	if b {
 		return 1
--- a/router/gateway/contention.go
+++ b/router/gateway/contention.go
@@ -10,6 +10,12 @@
 	"gooseberrypin.example/router/quota"
 )
 
+const (
+	// generationRetryAfterFactor times the latency target is the retry delay of a refused generation where standing is not in
+	// force.
+	generationRetryAfterFactor = 1.5
+)
+
 type (
 	// poolOrder caches the ranks of the requests for a pool by a table.
 	poolOrder struct {
@@ -42,6 +48,14 @@
 	return s
 }
 
+// retryAfter returns the retry delay for the caller of a refused generation.
+func (n *generation) retryAfter() time.Duration {
+	if s := n.record.Standing; s.InForce {
+		return s.RetryAfter(n.route.TargetLatency, time.Until(n.request.deadline(n.route)), n.gateway.draw())
+	}
+	return time.Duration(generationRetryAfterFactor * float64(n.route.TargetLatency))
+}
+
 // of returns the ranks of the requests for a pool and the units of the customers.
 func (o *poolOrder) of(t *ingress.Table, pool string) (ranks []int, units map[string]int) {
 	o.mu.Lock()
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
@@ -29,8 +28,6 @@
 	maxRounds = 6
 	// retriesPerRound is the number of sends in a further round: a prefill and a decode.
 	retriesPerRound = 2
-	// generationRetryAfterFactor times the latency target is the retry delay of a refused generation.
-	generationRetryAfterFactor = 1.5
 )
 
 type (
@@ -47,8 +44,6 @@
 		fingerprint uint64
 		// firstArrival is when the first attempt of the request arrived.
 		firstArrival time.Time
-		// standing is the place of the generation among those that compete for decode memory.
-		standing contention.Standing
 		// engineRequests counts the sends that reached engines, except the first accepted prefill.
 		engineRequests int
 		// prefillAccepted reports whether an engine has accepted a prefill.
@@ -92,7 +87,7 @@
 	}
 	n.fingerprint = n.request.fingerprint()
 	n.firstArrival = n.poolState.refused.firstArrival(n.fingerprint, n.request.Arrived)
-	n.standing = n.newStanding()
+	n.record.Standing = n.newStanding()
 	n.record.SinceFirstTry = n.request.Arrived.Sub(n.firstArrival)
 	refused := n.rounds(ctx)
 	n.poolState.retryBudget.Return(n.reservedRetries)
@@ -163,6 +158,7 @@
 	grant, ok := n.acquireMemory(ctx)
 	n.record.MemoryWait += time.Since(began)
 	n.record.Reserves += grant.Attempts
+	n.record.Denial = grant.Denial
 	if !ok {
 		return n.refuseWithoutMemory(ctx)
 	}
@@ -271,7 +267,7 @@
 // completeWaiter sets the tokens, the priority and the expected run of a waiter, and limits its wait to the deadline of the
 // caller.
 func (n *generation) completeWaiter(w reservation.Waiter) reservation.Waiter {
-	w.Tokens, w.Priority, w.Standing = n.record.Tokens, n.rank(), n.standing
+	w.Tokens, w.Priority, w.Standing = n.record.Tokens, n.rank(), n.record.Standing
 	w.Deadline = n.request.deadline(n.route)
 	if w.Expires.After(w.Deadline) {
 		w.Expires = w.Deadline
@@ -292,14 +288,6 @@
 		"no decode memory for %d tokens, %d others wait", n.record.Tokens, n.poolState.memoryQueue.Length())}
 }
 
-// retryAfter returns the retry delay for the caller of a refused generation.
-func (n *generation) retryAfter() time.Duration {
-	if n.standing.InForce {
-		return n.standing.RetryAfter(n.route.TargetLatency, time.Until(n.request.deadline(n.route)), n.gateway.draw())
-	}
-	return time.Duration(generationRetryAfterFactor * float64(n.route.TargetLatency))
-}
-
 // countEngineRequest counts a send that reached an engine. Each one but the first is a retry, which is taken
 // from the reserved retries or else from the budget.
 func (n *generation) countEngineRequest() {
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/refusal"
+	"gooseberrypin.example/router/reservation"
 )
 
 const (
@@ -50,6 +52,10 @@
 		SinceFirstTry time.Duration
 		// Tokens is the memory to reserve for a generation, in tokens.
 		Tokens int
+		// Standing is the place of a generation among those that compete for decode memory, where it counts.
+		Standing contention.Standing
+		// Denial is why the generation got no decode memory.
+		Denial reservation.Denial
 		// Events counts the events of a stream that were sent to the caller.
 		Events int
 		// MaxGap is the longest pause between two events.
@@ -118,6 +124,12 @@
 	if r.Request.HasKey && (r.Refusal.Reason == refusal.Unauthenticated || r.Refusal.Reason == refusal.KeysOutdated) {
 		fields = append(fields, "key_digest", r.Request.KeyDigest.String()[:2*loggedDigestBytes])
 	}
+	if r.Standing.InForce {
+		fields = append(fields, "rank", r.Standing.Rank, "ranks", r.Standing.Ranks, "beyond_share", r.Standing.BeyondShare)
+	}
+	if r.Denial != reservation.NotDenied {
+		fields = append(fields, "denial", string(r.Denial))
+	}
 	fields = append(fields, "reason", r.Refusal.Reason.String(), "ran", r.Refusal.Ran.String(),
 		"retry_after_ms", r.Refusal.RetryAfter.Milliseconds(), "why", r.Refusal.Message)
 	g.log.Warn(event.RequestRefused, fields...)
--- a/router/reservation/outcome.go
+++ b/router/reservation/outcome.go
@@ -4,7 +4,21 @@
 	"time"
 )
 
+const (
+	// NotDenied is the denial of a grant, and of a waiter whose context ended.
+	NotDenied Denial = ""
+	// Expired means that the waiter waited for too long.
+	Expired Denial = "expired"
+	// PredictedLate means that a new waiter was predicted to get no memory in time.
+	PredictedLate Denial = "predicted_late"
+	// Outranked means that a waiter was predicted to get no memory in time after others of a higher standing.
+	Outranked Denial = "outranked"
+)
+
 type (
+	// Denial is why a waiter got no memory, as it is logged.
+	Denial string
+
 	// Outcome is the result of a reservation attempt: Reserved, Full, Limited or Failed.
 	//
 	//sumtype:decl
--- a/router/reservation/pacing.go
+++ b/router/reservation/pacing.go
@@ -23,8 +23,8 @@
 	largeDivisor = 8
 	// largeKey is the name by which all entries choose the same engines for large generations.
 	largeKey = "large-generations"
-	// otherChance is the part of the attempts of other generations that these engines get all the same. Without large
-	// generations, their memory is unused for about 0.4 s of the 4 s that a generation holds it.
+	// otherChance is the chance with which another generation considers one of these engines all the same, so that their
+	// memory is used when there are no large ones.
 	otherChance = 1.0 / 32
 	// largeRefresh is how often these engines are chosen anew.
 	largeRefresh = time.Second
@@ -137,7 +137,7 @@
 	for _, t := range q.waiting {
 		wait := time.Duration(waitSafetyFactor * float64(len(kept)+1) * float64(q.grants.interval))
 		if !t.reserving && !t.Resumed && t.Standing.Compare(first.Standing) > 0 && now.Add(wait).After(t.ExpiresIfContended) {
-			t.result <- result{grant: Grant{Attempts: t.attempts}}
+			t.result <- result{grant: Grant{Attempts: t.attempts, Denial: Outranked}}
 			continue
 		}
 		kept = append(kept, t)
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -68,6 +68,8 @@
 		Reservation string
 		// Attempts is the number of reservation attempts, including those that did not succeed.
 		Attempts int
+		// Denial is why there is no memory.
+		Denial Denial
 	}
 
 	// Reserver requests memory for a number of tokens from an engine.
@@ -166,7 +168,7 @@
 	if q.cannotMeetTarget(t, now) {
 		q.remove(t)
 		q.mu.Unlock()
-		return Grant{Attempts: t.attempts}, false
+		return Grant{Attempts: t.attempts, Denial: PredictedLate}, false
 	}
 	q.mu.Unlock()
 	select {
@@ -243,7 +245,7 @@
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		if !t.reserving && t.expired(now, onTimeWaiters) {
-			t.result <- result{grant: Grant{Attempts: t.attempts}}
+			t.result <- result{grant: Grant{Attempts: t.attempts, Denial: Expired}}
 			continue
 		}
 		kept = append(kept, t)
