Merge: competition for decode memory by standing, off by default

Cause: across entries nothing favours the urgent kind or a customer within its share when decode memory is scarce. Change: router/contention with its use in the queue, switched on by contention.enabled. Tests of contention, reservation, gateway, quota, member, ingress, settings, event green.

--- a/router/adapter/member/customer.go
+++ b/router/adapter/member/customer.go
@@ -57,6 +57,8 @@
 		IntervalMS int64           `json:"interval_ms"`
 		EarlyGapMS int64           `json:"early_gap_ms"`
 		Shares     []*shareMessage `json:"shares"`
+		// Others are the demand and what was granted of customers that the report does not name.
+		Others map[string][2]float64 `json:"others,omitempty"`
 	}
 
 	// shareMessage is grant, target, debt, per_second, short (0 or 1), available, demand and granted of a
@@ -169,6 +171,12 @@
 		}
 		index++
 	}
+	if len(a.Others) > 0 {
+		m.Others = make(map[string][2]float64, len(a.Others))
+		for _, l := range a.Others {
+			m.Others[l.Name] = [2]float64{round(l.Demand), round(l.Granted)}
+		}
+	}
 	return m
 }
 
@@ -189,6 +197,9 @@
 			Available: s[5], Demand: s[6], Granted: s[7],
 		})
 	}
+	for name, l := range m.Others {
+		a.Others = append(a.Others, quota.CustomerLoad{Name: name, Demand: l[0], Granted: l[1]})
+	}
 	return a
 }
 
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/memory"
@@ -67,6 +68,10 @@
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
 		pace *pace.Limiter
+		// contention reports whether generations compete for memory by their standing.
+		contention bool
+		// shares holds the fair shares of customers; nil if their loads are not known.
+		shares *contention.Shares
 
 		mu       sync.Mutex
 		random   *rand.Rand
@@ -93,6 +98,7 @@
 		estimates   *estimates
 		// refused holds the refused generations that their callers may send again.
 		refused refusedRequests
+		order   poolOrder
 	}
 )
 
--- a/router/quota/customer.go
+++ b/router/quota/customer.go
@@ -101,6 +101,8 @@
 		Interval  time.Duration
 		EarlyGap  time.Duration
 		Customers []CustomerShare
+		// Others are the loads of customers that the report does not name, at most maxOthers.
+		Others []CustomerLoad
 	}
 
 	// CustomerShare is what the allocator answers about one customer.
