--- a/router/contention/share.go
+++ b/router/contention/share.go
@@ -13,7 +13,7 @@
 	// rarely.
 	MaxLoadAge = 5 * time.Second
 	// surePart is the part of a fair share that comes before what others send beyond theirs. The shares add up to all that
-	// is granted, and at full load nobody would be sure of memory in time.
+	// is granted, and at full load no request would be sure of memory in time.
 	surePart = 0.8
 )
 
--- a/router/memory/budget.go
+++ b/router/memory/budget.go
@@ -1,5 +1,5 @@
 // Package memory divides the bytes that a process may hold for its clients: request bodies, request heads, buffered answers
-// and connections. It addresses the load of clients that nobody controls, which together send or leave unread more than
+// and connections. It addresses the load of untrusted clients, which together send or leave unread more than
 // the process has memory for. A consumer takes bytes before it buffers anything.
 package memory
 
