--- a/router/contention/contention_test.go
+++ b/router/contention/contention_test.go
@@ -19,7 +19,7 @@
 		demands  []float64
 		want     []float64
 	}{
-		"nobody":                     {10, nil, []float64{}},
+		"no demands":                 {10, nil, []float64{}},
 		"enough for all":             {10, []float64{1, 5, 4}, []float64{1, 5, 4}},
 		"one beyond its share":       {10, []float64{60, 2, 3}, []float64{5, 2, 3}},
 		"two beyond their shares":    {10, []float64{9, 2, 60}, []float64{4, 2, 4}},
--- a/router/contention/share.go
+++ b/router/contention/share.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// FairShares divides a capacity max-min fairly: nobody gets more than its demand, and who gets less than that gets as
-// much as anybody.
+// FairShares divides a capacity max-min fairly: no demand gets more than itself, and a demand that gets less than that
+// gets as much as any other.
 func FairShares(capacity float64, demands []float64) []float64 {
 	order := make([]int, len(demands))
 	for n := range order {
--- a/router/contention/standing.go
+++ b/router/contention/standing.go
@@ -10,8 +10,8 @@
 
 const (
 	// highestFactor and lowestFactor are the attempt factors of the most and the least urgent priority of a pool. An entry
-	// with only the least urgent waiters asks a pool of as many engines once in 80 ms for each engine, so memory that nobody
-	// else wants is unused for a fiftieth of the time that a generation holds it.
+	// with only the least urgent waiters asks a pool of as many engines once in 80 ms for each engine, so memory that no
+	// other entry wants is unused for a fiftieth of the time that a generation holds it.
 	highestFactor = 0.25
 	lowestFactor  = 6
 	// beyondFactor multiplies the factor of requests beyond the fair share of their customer, and lateFactor that of requests
--- a/router/eventstream/order_test.go
+++ b/router/eventstream/order_test.go
@@ -46,7 +46,7 @@
 
 // IDs need only increase, so an increase by more than one is no proof that an event is missing. What can be known: an answer
 // that has shown three equal increments numbers its events regularly; a continuation must go on as the stream did before; and
-// without any increment to compare with, IDs count events or tokens, or else the next increment tells. Guards against legal
+// without any increment to compare with, IDs count events or tokens, or else the next increment decides. Guards against legal
 // streams that are cut off, and against events that are missing, repeated or out of order, as the names say.
 func TestOrder(t *testing.T) {
 	const tokensPerEvent = 12
