--- a/router/pace/pace.go
+++ b/router/pace/pace.go
@@ -151,6 +151,32 @@
 	return allowed
 }
 
+// Peek returns a limiter with the limits as they are now, whose use changes nothing in this one.
+func (l *Limiter) Peek() *Limiter {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	duplicate := NewLimiter(l.entry, l.entries)
+	for key, s := range l.limits {
+		held := *s
+		duplicate.limits[key] = &held
+	}
+	return duplicate
+}
+
+// Limit returns the limit on the work in flight of all entries at an upstream, and how much this entry may have in flight.
+// Without a limiter both are 0.
+func (l *Limiter) Limit(u upstream.Upstream, now time.Time) (all, own float64) {
+	if l == nil {
+		return 0, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit(u, now), l.cap(u, now)
+}
+
 // cap returns how much work this entry may have in flight at an upstream: its share of the limit, rounded up in some slots
 // and down in others, so that the shares of all entries add up to the limit. The caller holds the lock.
 func (l *Limiter) cap(u upstream.Upstream, now time.Time) float64 {
--- a/router/quota/customers.go
+++ b/router/quota/customers.go
@@ -121,7 +121,7 @@
 	deadline := time.Now().Add(maxQuotaWait)
 	for {
 		d := c.decide(s, amount)
-		if now := time.Now(); d != nil || ctx.Err() != nil || !now.Add(c.link.nextEarly(now)).Before(deadline) {
+		if d != nil || ctx.Err() != nil || !c.mayAsk(time.Now(), deadline) {
 			defer c.mu.Unlock()
 			return c.settle(s, amount, d)
 		}
@@ -272,9 +272,7 @@
 // The caller holds the lock.
 func (c *Customers) settle(s *customerState, amount float64, d Decision) Decision {
 	if d == nil {
-		now := time.Now()
-		available := max(c.link.nextEarly(now), untilAmount(amount-s.held, s.share.PerSecond))
-		d = Denied{RetryAfter: s.retries.next(available, amount, max(s.share.PerSecond, minPerSecond), now)}
+		d = c.denyUnasked(s, amount, time.Now())
 	}
 	own := c.ownPart(s)
 	switch d.(type) {
@@ -287,6 +285,17 @@
 	return d
 }
 
+// mayAsk reports whether a request may wait for the allocator, until a deadline at most. The caller holds the lock.
+func (c *Customers) mayAsk(now, deadline time.Time) bool {
+	return now.Add(c.link.nextEarly(now)).Before(deadline)
+}
+
+// denyUnasked denies a request for which the allocator can't be asked in time. The caller holds the lock.
+func (c *Customers) denyUnasked(s *customerState, amount float64, now time.Time) Decision {
+	available := max(c.link.nextEarly(now), untilAmount(amount-s.held, s.share.PerSecond))
+	return Denied{RetryAfter: s.retries.next(available, amount, max(s.share.PerSecond, minPerSecond), now)}
+}
+
 // ownPart reports whether this entry uses its own part of a quota. The caller holds the lock.
 func (c *Customers) ownPart(s *customerState) bool {
 	return c.link.lost || !s.known
@@ -294,8 +303,7 @@
 
 // takeOwnPart takes an amount of this entry's own part of a quota. The caller holds the lock.
 func (c *Customers) takeOwnPart(s *customerState, amount float64, now time.Time) Decision {
-	perSecond := s.limit.PerSecond / float64(max(1, c.members.Divisor()))
-	s.ownPart.refill(perSecond, max(perSecond*ownPartTime.Seconds(), 1), now)
+	perSecond := c.refillOwnPart(s, now)
 	if s.ownPart.level >= amount {
 		s.ownPart.level -= amount
 		return Allowed{}
@@ -303,6 +311,14 @@
 	return Denied{RetryAfter: s.retries.next(s.ownPart.until(amount, perSecond), amount, perSecond, now)}
 }
 
+// refillOwnPart adds what has accumulated of this entry's own part of a quota, and returns its rate. The caller holds the
+// lock.
+func (c *Customers) refillOwnPart(s *customerState, now time.Time) float64 {
+	perSecond := s.limit.PerSecond / float64(max(1, c.members.Divisor()))
+	s.ownPart.refill(perSecond, max(perSecond*ownPartTime.Seconds(), 1), now)
+	return perSecond
+}
+
 func outcome(own bool, share, granted Outcome) Outcome {
 	if own {
 		return share
--- a/router/quota/limiter.go
+++ b/router/quota/limiter.go
@@ -294,18 +294,43 @@
 		}
 		q.demand++
 	}
+	d, o := l.decideHeld(q, limit, now)
+	if d != nil {
+		l.observe(o)
+	}
+	return d
+}
+
+// decideHeld decides by what this entry holds of a quota, and takes it from q. It returns nil if the owner is to be asked.
+// The caller holds the lock.
+func (l *Limiter) decideHeld(q *quotaState, limit Limit, now time.Time) (Decision, Outcome) {
 	switch {
 	case q.acquired > 0 && now.Before(q.expires):
 		q.acquired--
-		l.observe(Granted)
-		return Allowed{}
+		return Allowed{}, Granted
 	case now.Before(q.ownerPauseEnd):
-		return l.takeShare(q, limit, now)
+		return l.decideShare(q, limit, now)
 	case now.Before(q.deniedUntil):
-		l.observe(Refused)
-		return Denied{RetryAfter: q.deniedUntil.Sub(now)}
+		return Denied{RetryAfter: q.deniedUntil.Sub(now)}, Refused
+	}
+	return nil, ""
+}
+
+// Peek returns what Take would decide without asking the owner of the quota; nil if it would ask. It changes nothing.
+func (l *Limiter) Peek(upstream string) Decision {
+	limit, found := l.table.Limit(upstream)
+	if !found || !limit.Stated {
+		return Allowed{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q, found := l.quotas[upstream]
+	if !found {
+		return nil
 	}
-	return nil
+	held := *q
+	d, _ := l.decideHeld(&held, limit, time.Now())
+	return d
 }
 
 // batch returns the number of requests to acquire. It is half of those that are expected within batchTime, so that
@@ -346,12 +371,17 @@
 
 // takeShare takes a request of this entry's share of a quota. The caller holds the lock.
 func (l *Limiter) takeShare(q *quotaState, limit Limit, now time.Time) Decision {
+	d, o := l.decideShare(q, limit, now)
+	l.observe(o)
+	return d
+}
+
+// decideShare decides by this entry's share of a quota, and takes the request from q. The caller holds the lock.
+func (l *Limiter) decideShare(q *quotaState, limit Limit, now time.Time) (Decision, Outcome) {
 	perSecond := max(limit.PerSecond, minPerSecond) / float64(max(1, l.members.Divisor()))
 	q.share.refill(perSecond, 1+perSecond*burstTime.Seconds(), now)
 	if q.share.take(1) > 0 {
-		l.observe(ShareGranted)
-		return Allowed{}
+		return Allowed{}, ShareGranted
 	}
-	l.observe(ShareRefused)
-	return Denied{RetryAfter: q.share.until(1, perSecond)}
+	return Denied{RetryAfter: q.share.until(1, perSecond)}, ShareRefused
 }
--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -267,13 +267,24 @@
 // before has expired. The caller holds the lock.
 func (c *Customers) checkLost(now time.Time) {
 	l := &c.link
-	if l.lost || now.Sub(l.answered) <= grantIntervals*l.interval {
+	if !c.silent(now) {
 		return
 	}
 	l.lost, l.lostSince = true, now
 	c.log.Error(errNoAnswer, event.CustomerAllocatorLost, "allocator", l.address, "silent_ms", now.Sub(l.answered).Milliseconds(), "entries", c.members.Divisor())
 	for _, s := range c.states {
-		s.ownPart = bucket{level: min(0, s.held), updated: now}
-		s.held, s.known = 0, false
+		s.useOwnPart(now)
 	}
 }
+
+// silent reports whether the allocator has not answered for grantIntervals and this entry does not use its own parts yet. The
+// caller holds the lock.
+func (c *Customers) silent(now time.Time) bool {
+	return !c.link.lost && now.Sub(c.link.answered) > grantIntervals*c.link.interval
+}
+
+// useOwnPart begins the use of this entry's own part of the quota, without what it held before.
+func (s *customerState) useOwnPart(now time.Time) {
+	s.ownPart = bucket{level: min(0, s.held), updated: now}
+	s.held, s.known = 0, false
+}
--- a/router/speed/view.go
+++ b/router/speed/view.go
@@ -101,6 +101,41 @@
 	return v
 }
 
+// Peek returns what View would return, and changes nothing.
+func (t *Table) Peek(members func() []*upstream.Member, pool string, phase upstream.Phase, now time.Time) *View {
+	if t == nil || t.factor <= 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v, found := t.views[role{pool, phase}]; found && now.Before(v.expires) {
+		return v
+	}
+	list := members()
+	// The verdicts on copies of the engines are neither kept nor logged.
+	scratch := &Table{factor: t.factor, log: event.Discard(), engines: make(map[uint64]*engine, len(list))}
+	for _, m := range list {
+		if e, found := t.engines[Key(m.Upstream)]; found {
+			duplicate := *e
+			scratch.engines[Key(m.Upstream)] = &duplicate
+		}
+	}
+	return scratch.compute(list, now)
+}
+
+// Age returns the age of the newest sample of an engine, or false if there is none.
+func (t *Table) Age(u upstream.Upstream, now time.Time) (time.Duration, bool) {
+	if t == nil {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, found := t.engines[Key(u)]; found && len(e.samples) > 0 {
+		return now.Sub(e.samples[0].Observed), true
+	}
+	return 0, false
+}
+
 // compute judges the engines of a pool and estimates their speeds. The caller holds the lock.
 func (t *Table) compute(members []*upstream.Member, now time.Time) *View {
 	v := &View{expires: now.Add(viewAge + time.Duration(len(members))*viewAgePerEngine)}
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -286,10 +286,3 @@
 	defer h.mu.Unlock()
 	return h.replaced || now.Before(h.claimedUntil)
 }
-
-// usable reports whether the member may get new requests.
-func (h *History) usable(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !h.replaced && !now.Before(h.claimedUntil) && h.leavingAt.IsZero() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
-}
