--- a/router/reservation/engine.go
+++ b/router/reservation/engine.go
@@ -27,11 +27,25 @@
 
 // mayHaveMemory reports whether an attempt for a waiter may start at an engine, one of a number of members.
 func (q *Queue) mayHaveMemory(t *ticket, m *upstream.Member, members int, now time.Time) bool {
+	o, _ := q.obstacle(t, m, members, now)
+	return o == NoObstacle
+}
+
+// obstacle returns why no attempt for a waiter may start at an engine, one of a number of members, and until when if that is
+// known.
+func (q *Queue) obstacle(t *ticket, m *upstream.Member, members int, now time.Time) (Obstacle, time.Time) {
 	engine := q.engineMemory(m.ID)
-	if engine.reserving || m.ID == t.Avoid && members > 1 || q.leavesToLarge(t, m, now) {
-		return false
+	switch {
+	case engine.reserving:
+		return AttemptInFlight, time.Time{}
+	case m.ID == t.Avoid && members > 1:
+		return Avoided, time.Time{}
+	case q.leavesToLarge(t, m, now):
+		return LeftToLarge, time.Time{}
+	case engine.refusedTokens > 0 && t.Tokens >= engine.refusedTokens && now.Before(engine.retryAt):
+		return LacksMemory, engine.retryAt
 	}
-	return engine.refusedTokens == 0 || t.Tokens < engine.refusedTokens || !now.Before(engine.retryAt)
+	return NoObstacle, time.Time{}
 }
 
 func (q *Queue) engineMemory(id string) *engineMemory {
--- a/router/reservation/grants.go
+++ b/router/reservation/grants.go
@@ -53,6 +53,11 @@
 		// schedule has refused the waiter already.
 		return false
 	}
-	predictedWait := waitSafetyFactor * float64(ahead+1) * float64(q.grants.interval)
-	return now.Add(time.Duration(predictedWait)).After(limit)
+	return now.Add(q.predictedWait(ahead)).After(limit)
+}
+
+// predictedWait returns the time after which a waiter behind a number of others is predicted to get memory; 0 if no interval
+// between grants is known. The caller holds the lock.
+func (q *Queue) predictedWait(ahead int) time.Duration {
+	return time.Duration(waitSafetyFactor * float64(ahead+1) * float64(q.grants.interval))
 }
--- a/router/reservation/pacing.go
+++ b/router/reservation/pacing.go
@@ -135,7 +135,7 @@
 	kept := q.waiting[:0]
 	first := q.waiting[0]
 	for _, t := range q.waiting {
-		wait := time.Duration(waitSafetyFactor * float64(len(kept)+1) * float64(q.grants.interval))
+		wait := q.predictedWait(len(kept))
 		if !t.reserving && !t.Resumed && t.Standing.Compare(first.Standing) > 0 && now.Add(wait).After(t.ExpiresIfContended) {
 			t.result <- result{grant: Grant{Attempts: t.attempts, Denial: Outranked}}
 			continue
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -121,6 +121,12 @@
 		grant   Grant
 		granted bool
 	}
+
+	// attempt is a reservation attempt to start for a waiter.
+	attempt struct {
+		ticket *ticket
+		member *upstream.Member
+	}
 )
 
 // NewQueue returns an empty queue. members returns the decode engines that accept work.
@@ -162,8 +168,7 @@
 	t := &ticket{Waiter: w, ctx: ctx, result: make(chan result, 1)}
 	q.mu.Lock()
 	now := time.Now()
-	q.waiting = append(q.waiting, t)
-	q.pacing.addSize(t.Tokens)
+	q.add(t)
 	q.schedule(now)
 	if q.cannotMeetTarget(t, now) {
 		q.remove(t)
@@ -189,6 +194,12 @@
 	return Grant{Attempts: t.attempts}, false
 }
 
+// add adds a new waiter. The caller holds the lock.
+func (q *Queue) add(t *ticket) {
+	q.waiting = append(q.waiting, t)
+	q.pacing.addSize(t.Tokens)
+}
+
 // Freed records that the engine with an ID freed memory. It ends the pause after a refusal there, so that waiters
 // may be granted that memory immediately.
 func (q *Queue) Freed(id string) {
@@ -211,9 +222,18 @@
 // schedule refuses expired waiters and starts an attempt for each waiter for which an engine may have
 // enough free memory. The caller holds the lock.
 func (q *Queue) schedule(now time.Time) {
+	for _, a := range q.plan(now) {
+		q.startReservation(a)
+	}
+	q.scheduleWake(now)
+}
+
+// plan refuses expired waiters and returns the attempts to start now, which count as in flight from then on. The caller holds
+// the lock.
+func (q *Queue) plan(now time.Time) []attempt {
 	q.refuseExpired(now)
 	if len(q.waiting) == 0 {
-		return
+		return nil
 	}
 	rank(q.waiting, now)
 	q.refuseOutranked(now)
@@ -223,15 +243,17 @@
 		q.pacing.chooseLarge(members, now)
 	}
 	q.attemptInterval = engineAttemptInterval * time.Duration(q.entries()) / time.Duration(max(1, len(members)))
+	var attempts []attempt
 	for _, t := range q.waiting {
 		if t.reserving || now.Before(q.mayAttemptAt(t, now)) {
 			continue
 		}
 		if m := q.choose(t, members, now); m != nil {
-			q.startReservation(t, m, now)
+			q.beginAttempt(t, m, now)
+			attempts = append(attempts, attempt{t, m})
 		}
 	}
-	q.scheduleWake(now)
+	return attempts
 }
 
 // refuseExpired refuses the waiters past their deadline, except those with an attempt in flight.
@@ -268,26 +290,35 @@
 		return q.chooseBySpeed(t, members, speeds, now)
 	}
 	var best *upstream.Member
-	leastTokens, ties := 0, 0
+	for n, m := range q.leastUsed(t, members, now) {
+		if n == 0 || q.random.IntN(n+1) == 0 {
+			best = m
+		}
+	}
+	return best
+}
+
+// leastUsed returns the engines with the fewest tokens in use by this process among those that may have enough free memory.
+func (q *Queue) leastUsed(t *ticket, members []*upstream.Member, now time.Time) []*upstream.Member {
+	var best []*upstream.Member
+	leastTokens := 0
 	for _, m := range members {
 		if !q.mayHaveMemory(t, m, len(members), now) {
 			continue
 		}
-		switch usedTokens := m.Load().Tokens; {
-		case best == nil || usedTokens < leastTokens:
-			best, leastTokens, ties = m, usedTokens, 1
-		case usedTokens == leastTokens:
-			ties++
-			if q.random.IntN(ties) == 0 {
-				best = m
-			}
+		usedTokens := m.Load().Tokens
+		if len(best) == 0 || usedTokens < leastTokens {
+			best, leastTokens = best[:0], usedTokens
+		}
+		if usedTokens == leastTokens {
+			best = append(best, m)
 		}
 	}
 	return best
 }
 
-// startReservation starts an attempt at an engine in the background.
-func (q *Queue) startReservation(t *ticket, m *upstream.Member, now time.Time) {
+// beginAttempt counts an attempt at an engine as in flight.
+func (q *Queue) beginAttempt(t *ticket, m *upstream.Member, now time.Time) {
 	if t.class(now) == late {
 		q.lastLateAttempt = now
 	}
@@ -298,11 +329,15 @@
 	t.reserving = true
 	t.attempts++
 	q.engineMemory(m.ID).reserving = true
+}
+
+// startReservation starts an attempt in the background.
+func (q *Queue) startReservation(a attempt) {
 	go func() {
-		outcome := q.reserve(t.ctx, m, t.Tokens)
+		outcome := q.reserve(a.ticket.ctx, a.member, a.ticket.Tokens)
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		q.recordOutcome(t, m, outcome, time.Now())
+		q.recordOutcome(a.ticket, a.member, outcome, time.Now())
 		q.schedule(time.Now())
 	}()
 }
--- a/router/reservation/speed.go
+++ b/router/reservation/speed.go
@@ -40,6 +40,23 @@
 // chooseBySpeed returns an engine that may have enough free memory, or nil. Of the most suitable engines, it draws two at
 // random, with weights of the inverse of their time per token: an engine frees memory in proportion to its speed.
 func (q *Queue) chooseBySpeed(t *ticket, members []*upstream.Member, speeds *speed.View, now time.Time) *upstream.Member {
+	suitable := q.mostSuitable(t, members, speeds, now)
+	first, second := drawBySpeed(suitable, speeds, q.random), drawBySpeed(suitable, speeds, q.random)
+	switch {
+	case first == nil || first == second:
+		return first
+	case t.isLong(max(speeds.PerToken(first), speeds.PerToken(second)), now):
+		if speeds.PerToken(second) < speeds.PerToken(first) {
+			return second
+		}
+	case second.Load().Tokens < first.Load().Tokens:
+		return second
+	}
+	return first
+}
+
+// mostSuitable returns the most suitable of the engines that may have enough free memory.
+func (q *Queue) mostSuitable(t *ticket, members []*upstream.Member, speeds *speed.View, now time.Time) []*upstream.Member {
 	var suitable []*upstream.Member
 	best := tooSlow
 	for _, m := range members {
@@ -54,18 +71,7 @@
 			suitable = append(suitable, m)
 		}
 	}
-	first, second := drawBySpeed(suitable, speeds, q.random), drawBySpeed(suitable, speeds, q.random)
-	switch {
-	case first == nil || first == second:
-		return first
-	case t.isLong(max(speeds.PerToken(first), speeds.PerToken(second)), now):
-		if speeds.PerToken(second) < speeds.PerToken(first) {
-			return second
-		}
-	case second.Load().Tokens < first.Load().Tokens:
-		return second
-	}
-	return first
+	return suitable
 }
 
 // suitability returns how suitable an engine is for a waiter.
@@ -98,7 +104,7 @@
 	var drawn *upstream.Member
 	total := 0.0
 	for _, m := range members {
-		weight := 1 / float64(max(1, speeds.PerToken(m)))
+		weight := speedWeight(m, speeds)
 		if total += weight; random.Float64()*total <= weight {
 			drawn = m
 		}
@@ -106,6 +112,11 @@
 	return drawn
 }
 
+// speedWeight returns the weight with which an engine is drawn.
+func speedWeight(m *upstream.Member, speeds *speed.View) float64 {
+	return 1 / float64(max(1, speeds.PerToken(m)))
+}
+
 // recordFull records that an engine refused memory to a waiter. Until about that much memory is free again, by the time in
 // which its streams end one after the other, other engines are tried first.
 func (q *Queue) recordFull(engine *engineMemory, t *ticket, m *upstream.Member, now time.Time) {
