Gateway: Explain runs the decisions of a request without sending it

Change: admission, choice of the pool's upstreams, pace, quotas, content and decode memory are decided by functions that Serve and Explain both call; random choices are made through a source that an explanation replaces by its own.

--- a/router/gateway/active.go
+++ b/router/gateway/active.go
@@ -36,14 +36,15 @@
 		customer *ingress.Customer
 		// charge is what the request has taken of its customer's quota.
 		charge charge
+		// peek is nil for a request that is served, and not for one that is only explained.
+		peek *peek
 	}
 )
 
 // serve serves a request that is within the quota of its customer.
 func (ar *activeRequest) serve(ctx context.Context) *refusal.Refusal {
 	ar.poolState.retryBudget.RecordFirstTry()
-	ar.contents = ar.request.contents()
-	if refused := ar.refuseQuarantined(refusal.RanNo); refused != nil {
+	if refused := ar.checkContents(); refused != nil {
 		return refused
 	}
 	switch ar.route.Kind.(type) {
@@ -55,6 +56,12 @@
 	return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "route of an unknown kind")
 }
 
+// checkContents identifies the contents of the request, and refuses it if they are quarantined.
+func (ar *activeRequest) checkContents() *refusal.Refusal {
+	ar.contents = ar.request.contents()
+	return ar.refuseQuarantined(refusal.RanNo)
+}
+
 // remaining returns the time until the deadline of the caller.
 func (ar *activeRequest) remaining() time.Duration {
 	return time.Until(ar.request.deadline(ar.route))
--- a/router/gateway/call.go
+++ b/router/gateway/call.go
@@ -46,10 +46,7 @@
 	var failure *callResult
 	running, ran, notRun := 0, 0, 0
 	if sent, limited := ar.send(ctx, FirstTry, tried, results); !sent {
-		if limited > 0 {
-			return ar.refuseLimited(refusal.RanNo, limited)
-		}
-		return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetryAfter, "no upstream in %s", ar.pool.Name)
+		return ar.refuseUnsent(limited)
 	}
 	running++
 	hedge := time.NewTimer(ar.hedgeAfter())
@@ -92,6 +89,14 @@
 	return ar.refuseOrDeliverFailure(ctx, failure)
 }
 
+// refuseUnsent refuses a request that no upstream takes. limited is the time until one may, or 0 if there is none.
+func (ar *activeRequest) refuseUnsent(limited time.Duration) *refusal.Refusal {
+	if limited > 0 {
+		return ar.refuseLimited(refusal.RanNo, limited)
+	}
+	return refusal.New(refusal.RanNo, refusal.NoUpstream, noUpstreamRetryAfter, "no upstream in %s", ar.pool.Name)
+}
+
 // allowRetry reports whether the request may be sent again after the given result. It spends one retry of the
 // budget, except after a send that never left this process.
 func (ar *activeRequest) allowRetry(r Result) bool {
--- a/router/gateway/choose.go
+++ b/router/gateway/choose.go
@@ -20,62 +20,77 @@
 type (
 	// chooser returns the best member that was not tried, or nil. It prefers the given data centre.
 	chooser func(members []*upstream.Member, dataCentre string, tried map[string]bool, random *rand.Rand) *upstream.Member
+
+	// cost returns what a member costs. The one with the lowest cost is chosen.
+	cost func(*upstream.Member) float64
 )
 
 // chooseService returns the member with the fewest requests of this process in flight, or nil. It prefers
 // members in the data centre. The number of requests in flight accounts for servers of different speed and
 // servers that hang.
 func chooseService(members []*upstream.Member, dataCentre string, tried map[string]bool, random *rand.Rand) *upstream.Member {
-	return leastCost(members, tried, random, func(m *upstream.Member) float64 {
+	return leastCost(members, tried, random, serviceCost(dataCentre))
+}
+
+// serviceCost returns the cost by which plain services are compared in a data centre.
+func serviceCost(dataCentre string) cost {
+	return func(m *upstream.Member) float64 {
 		load := float64(m.Load().Requests)
 		if m.DataCentre != dataCentre {
 			load += remoteCostRequests
 		}
 		return load
-	})
+	}
 }
 
 // choosePrefill returns the prefill engine with the fewest prompt tokens of this process in flight, or nil.
 // It prefers engines in the data centre, which is that of the decode engine.
 func choosePrefill(members []*upstream.Member, dataCentre string, tried map[string]bool, random *rand.Rand) *upstream.Member {
-	return leastCost(members, tried, random, func(m *upstream.Member) float64 {
+	return leastCost(members, tried, random, prefillCost(dataCentre))
+}
+
+// prefillCost returns the cost by which prefill engines are compared for a decode engine in a data centre.
+func prefillCost(dataCentre string) cost {
+	return func(m *upstream.Member) float64 {
 		load := float64(m.Load().Tokens)
 		if m.DataCentre != dataCentre {
 			load += remoteCostTokens
 		}
 		return load
-	})
+	}
 }
 
 // leastCost returns the member with the lowest cost that was not tried, or nil. It chooses at random among
 // members of equal cost.
-func leastCost(members []*upstream.Member, tried map[string]bool, random *rand.Rand, cost func(*upstream.Member) float64) *upstream.Member {
+func leastCost(members []*upstream.Member, tried map[string]bool, random *rand.Rand, of cost) *upstream.Member {
 	var best *upstream.Member
-	lowest, equals := 0.0, 0
+	for n, m := range cheapest(members, tried, of) {
+		if n == 0 || random.IntN(n+1) == 0 {
+			best = m
+		}
+	}
+	return best
+}
+
+// cheapest returns the members with the lowest cost that were not tried.
+func cheapest(members []*upstream.Member, tried map[string]bool, of cost) []*upstream.Member {
+	var best []*upstream.Member
+	lowest := 0.0
 	for _, m := range members {
 		if tried[m.ID] {
 			continue
 		}
-		switch c := cost(m); {
-		case best == nil || c < lowest:
-			best, lowest, equals = m, c, 1
-		case c == lowest:
-			equals++
-			if random.IntN(equals) == 0 {
-				best = m
-			}
+		c := of(m)
+		if len(best) == 0 || c < lowest {
+			best, lowest = best[:0], c
+		}
+		if c == lowest {
+			best = append(best, m)
 		}
 	}
 	return best
 }
 
-// pick calls a chooser while it holds the lock of the random source.
-func (g *Gateway) pick(choose chooser, members []*upstream.Member, dataCentre string, tried map[string]bool) *upstream.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return choose(members, dataCentre, tried, g.random)
-}
-
 // services returns the members of a plain service that are not ejected. If all are ejected, it returns those that have
 // not asked for a pause: a send that may be rejected is better than none. If all have asked for one, it returns none, and
 // the time until the first one may be sent a request.
--- a/router/gateway/contention.go
+++ b/router/gateway/contention.go
@@ -49,17 +49,35 @@
 	}
 	place, _ := slices.BinarySearch(ranks, n.rank())
 	s := contention.Standing{InForce: true, Rank: place, Ranks: len(ranks)}
-	if n.customer != nil && n.gateway.shares != nil {
-		within := n.gateway.shares.WithinPart(n.customer.Name, n.table, func(name string) int { return units[name] })
-		s.BeyondShare = within < 1 && n.gateway.draw() >= within
+	if within := n.partWithinShare(units); within < 1 {
+		s.BeyondShare = n.random().draw() >= within
 	}
 	return s
 }
 
+// partWithinShare returns the part of the customer's requests that are within its fair share, among the customers with the
+// same unit.
+func (n *generation) partWithinShare(units map[string]int) float64 {
+	if n.customer == nil || n.gateway.shares == nil {
+		return 1
+	}
+	return n.gateway.shares.WithinPart(n.customer.Name, n.table, func(name string) int { return units[name] })
+}
+
+// withinShare returns the chance with which the generation counts as within its customer's fair share; 1 where that does not
+// matter.
+func (n *generation) withinShare() float64 {
+	if !n.record.Standing.InForce {
+		return 1
+	}
+	_, units := n.poolState.order.of(n.table, n.pool.Name)
+	return n.partWithinShare(units)
+}
+
 // retryAfter returns the retry delay for the caller of a refused generation.
 func (n *generation) retryAfter() time.Duration {
 	if s := n.record.Standing; s.InForce {
-		return s.RetryAfter(n.route.TargetLatency, time.Until(n.request.deadline(n.route)), n.gateway.draw())
+		return s.RetryAfter(n.route.TargetLatency, time.Until(n.request.deadline(n.route)), n.random().draw())
 	}
 	return time.Duration(generationRetryAfterFactor * float64(n.route.TargetLatency))
 }
@@ -76,10 +94,3 @@
 	}
 	return o.ranks, o.units
 }
-
-// draw returns a random number from 0 to 1.
-func (g *Gateway) draw() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.random.Float64()
-}
--- a/router/gateway/customer_quota.go
+++ b/router/gateway/customer_quota.go
@@ -57,12 +57,17 @@
 	case quota.Allowed:
 		ar.charge.taken = ar.charge.amount
 	case quota.Denied:
-		return refusal.New(refusal.RanNo, refusal.QuotaExceeded, d.RetryAfter, "the quota of %s is used up for a time, the request counts as %v %v",
-			ar.customer.Name, ar.charge.amount, ar.customer.Quota.Unit)
+		return ar.refuseBeyondQuota(d)
 	}
 	return nil
 }
 
+// refuseBeyondQuota refuses a request that its customer's quota does not allow.
+func (ar *activeRequest) refuseBeyondQuota(d quota.Denied) *refusal.Refusal {
+	return refusal.New(refusal.RanNo, refusal.QuotaExceeded, d.RetryAfter, "the quota of %s is used up for a time, the request counts as %v %v",
+		ar.customer.Name, ar.charge.amount, ar.customer.Quota.Unit)
+}
+
 // returnCustomerQuota gives back what the request took, if it did not run.
 func (ar *activeRequest) returnCustomerQuota(refused *refusal.Refusal) {
 	if ar.customer != nil && refused != nil && refused.Ran == refusal.RanNo {
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/pace"
+	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/retry"
@@ -63,7 +64,10 @@
 		answerMemory  *memory.Budget
 		quota         Quota
 		customerQuota CustomerQuota
-		checkKeys     KeyCheck
+		// peekQuota and peekCustomerQuota read what quota and customerQuota would decide.
+		peekQuota         QuotaPeek
+		peekCustomerQuota CustomerQuotaPeek
+		checkKeys         KeyCheck
 		// speeds holds the learned speeds of engines; nil if they are not learned.
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
@@ -73,8 +77,9 @@
 		// shares holds the fair shares of customers; nil if their loads are not known.
 		shares *contention.Shares
 
+		random *randomness
+
 		mu       sync.Mutex
-		random   *rand.Rand
 		pools    map[string]*poolState
 		shutdown shutdown
 	}
@@ -88,6 +93,15 @@
 		lastGeneration time.Time
 	}
 
+	// admission is by what a request is judged before its pool is chosen.
+	admission struct {
+		// table is nil without a configuration, and route nil if none matches.
+		table *ingress.Table
+		route *ingress.Route
+		// customer is nil if no customers are in force, or on a public route without a known key.
+		customer *ingress.Customer
+	}
+
 	// Option configures a gateway.
 	Option func(*Gateway)
 
@@ -117,9 +131,13 @@
 		answerMemory:   memory.NewBudget(defaultAnswerBytes),
 		quota:          unlimited{},
 		customerQuota:  unlimitedCustomers{},
-		checkKeys:      func() revocation.Verdict { return revocation.Trusted{} },
-		random:         rand.New(rand.NewPCG(1, 1)),
-		pools:          make(map[string]*poolState),
+		peekQuota:      func(string) quota.Decision { return quota.Allowed{} },
+		peekCustomerQuota: func(string, float64) quota.CustomerPeek {
+			return quota.CustomerPeek{Decision: quota.Allowed{}}
+		},
+		checkKeys: func() revocation.Verdict { return revocation.Trusted{} },
+		random:    newRandomness(1),
+		pools:     make(map[string]*poolState),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -177,7 +195,7 @@
 
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option {
-	return func(g *Gateway) { g.random = rand.New(rand.NewPCG(seed, seed)) }
+	return func(g *Gateway) { g.random = newRandomness(seed) }
 }
 
 // SetRetries changes the retry ratio and the retry burst of all pools, as WithRetryRatio and
@@ -214,31 +232,23 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, r *Request, reply Reply, record *Record) *refusal.Refusal {
-	table, verdict := g.admissionTable()
-	if table == nil {
-		return refusal.New(refusal.RanNo, refusal.NoConfiguration, noConfigurationRetryAfter, "no configuration yet")
-	}
-	record.Version = table.Configuration.Version
-	route := table.Match(r.Host, r.Path)
-	if route == nil {
-		return refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "no route for %s%s", r.Host, r.Path)
+	a, refused := g.admit(r, g.random)
+	if a.table != nil {
+		record.Version = a.table.Configuration.Version
 	}
-	record.Route = route
-	customer, refused := g.authenticate(r, table, route, verdict)
+	record.Route = a.route
 	if refused != nil {
 		return refused
 	}
-	if customer != nil {
-		record.Customer = customer.Name
+	if a.customer != nil {
+		record.Customer = a.customer.Name
 	}
-	g.mu.Lock()
-	record.Pool = route.Pick(g.random)
-	g.mu.Unlock()
-	ctx, cancel := context.WithDeadline(ctx, r.deadline(route))
+	record.Pool = g.random.pickPool(a.route)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline(a.route))
 	defer cancel()
 	held, release := g.allocation(r)
 	defer release()
-	w := &activeRequest{gateway: g, request: r, memory: held, table: table, route: route, customer: customer, pool: table.Configuration.Pools[record.Pool], reply: reply, record: record}
+	w := &activeRequest{gateway: g, request: r, memory: held, table: a.table, route: a.route, customer: a.customer, pool: a.table.Configuration.Pools[record.Pool], reply: reply, record: record}
 	w.poolState = g.poolState(w.pool)
 	if refused := w.takeCustomerQuota(ctx); refused != nil {
 		return refused
@@ -248,6 +258,20 @@
 	return refused
 }
 
+// admit returns by what a request is judged, and a refusal if it may not be sent to any pool.
+func (g *Gateway) admit(r *Request, random *randomness) (admission, *refusal.Refusal) {
+	table, verdict := g.admissionTable()
+	if table == nil {
+		return admission{}, refusal.New(refusal.RanNo, refusal.NoConfiguration, noConfigurationRetryAfter, "no configuration yet")
+	}
+	route := table.Match(r.Host, r.Path)
+	if route == nil {
+		return admission{table: table}, refusal.New(refusal.RanNo, refusal.UnknownRule, 0, "no route for %s%s", r.Host, r.Path)
+	}
+	customer, refused := g.authenticate(r, table, route, verdict, random)
+	return admission{table: table, route: route, customer: customer}, refused
+}
+
 // poolState returns the state of a pool, which it creates for the first request.
 func (g *Gateway) poolState(p ingress.Pool) *poolState {
 	g.mu.Lock()
@@ -255,6 +279,13 @@
 	if s, found := g.pools[p.Name]; found {
 		return s
 	}
+	s := g.newPoolState(p, g.random.newRand())
+	g.pools[p.Name] = s
+	return s
+}
+
+// newPoolState returns the state of a pool without requests. The caller holds the lock.
+func (g *Gateway) newPoolState(p ingress.Pool, random *rand.Rand) *poolState {
 	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates()}
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
@@ -269,9 +300,8 @@
 		return g.reserve(ctx, m, tokens, life)
 	}
 	s.memoryQueue = reservation.NewQueue(reserve, g.upstreams.FreeReservation, decodeEngines,
-		reservation.WithRandom(rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))), reservation.WithEntries(g.entries),
+		reservation.WithRandom(random), reservation.WithEntries(g.entries),
 		reservation.WithSpeeds(decodeSpeeds, memoryTokens))
-	g.pools[p.Name] = s
 	return s
 }
 
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -83,10 +83,7 @@
 	if refused := n.admit(); refused != nil {
 		return refused
 	}
-	n.fingerprint = n.request.fingerprint()
-	n.firstArrival = n.poolState.refused.firstArrival(n.fingerprint, n.request.Arrived)
-	n.record.Standing = n.newStanding()
-	n.record.SinceFirstTry = n.request.Arrived.Sub(n.firstArrival)
+	n.identify()
 	refused := n.rounds(ctx)
 	n.poolState.retryBudget.Return(n.reservedRetries)
 	if n.heldGrant != nil {
@@ -98,6 +95,14 @@
 	return refused
 }
 
+// identify determines whether the caller has sent the generation before, and its place among the others.
+func (n *generation) identify() {
+	n.fingerprint = n.request.fingerprint()
+	n.firstArrival = n.poolState.refused.firstArrival(n.fingerprint, n.request.Arrived)
+	n.record.Standing = n.newStanding()
+	n.record.SinceFirstTry = n.request.Arrived.Sub(n.firstArrival)
+}
+
 // rounds runs rounds until one finishes the request, at most maxRounds.
 func (n *generation) rounds(ctx context.Context) *refusal.Refusal {
 	for range maxRounds {
@@ -282,8 +287,13 @@
 	if ctx.Err() != nil {
 		return done{n.contextRefusal(ctx, n.ran)}
 	}
-	return done{refusal.New(n.ran, refusal.Overloaded, n.retryAfter(),
-		"no decode memory for %d tokens, %d others wait", n.record.Tokens, n.poolState.memoryQueue.Length())}
+	return done{n.refuseFull()}
+}
+
+// refuseFull refuses a generation for lack of decode memory.
+func (n *generation) refuseFull() *refusal.Refusal {
+	return refusal.New(n.ran, refusal.Overloaded, n.retryAfter(),
+		"no decode memory for %d tokens, %d others wait", n.record.Tokens, n.poolState.memoryQueue.Length())
 }
 
 // decode streams the answer of the engine to the caller. A stall monitor cancels the decode when it has found
@@ -368,15 +378,20 @@
 	return nextRound{}
 }
 
+// refuseUnplaced refuses a generation that no upstream takes. limited is the time until one may, or 0 if there is none.
+func (n *generation) refuseUnplaced(limited time.Duration) *refusal.Refusal {
+	if limited > 0 {
+		return n.refuseLimited(n.ran, limited)
+	}
+	return refusal.New(n.ran, refusal.NoUpstream, noUpstreamRetryAfter, "no decode engine in %s", n.pool.Name)
+}
+
 // serveWithoutPhases serves a generation in a pool whose upstreams do not separate prefill and decode. It
 // reserves no memory and sends no prefill.
 func (n *generation) serveWithoutPhases(ctx context.Context) roundOutcome {
 	m, limited := n.acquireService(ctx, map[string]bool{n.avoid: true})
-	if limited > 0 {
-		return done{n.refuseLimited(n.ran, limited)}
-	}
 	if m == nil {
-		return done{refusal.New(n.ran, refusal.NoUpstream, noUpstreamRetryAfter, "no decode engine in %s", n.pool.Name)}
+		return done{n.refuseUnplaced(limited)}
 	}
 	m.Begin(0)
 	defer m.End(0)
--- a/router/gateway/identity.go
+++ b/router/gateway/identity.go
@@ -46,14 +46,14 @@
 }
 
 // authenticate returns the customer of a request, nil if there is none and the route needs none, or a refusal.
-func (g *Gateway) authenticate(r *Request, table *ingress.Table, route *ingress.Route, verdict revocation.Verdict) (*ingress.Customer, *refusal.Refusal) {
+func (g *Gateway) authenticate(r *Request, table *ingress.Table, route *ingress.Route, verdict revocation.Verdict, random *randomness) (*ingress.Customer, *refusal.Refusal) {
 	if !table.HasCustomers() || route.Public && !r.HasKey {
 		return nil, nil
 	}
 	age := time.Duration(0)
 	switch v := verdict.(type) {
 	case revocation.Outdated:
-		return nil, refusal.New(refusal.RanNo, refusal.KeysOutdated, g.spread(keysOutdatedRetryAfter),
+		return nil, refusal.New(refusal.RanNo, refusal.KeysOutdated, random.spread(keysOutdatedRetryAfter),
 			"keys may have been revoked since this entry last knew of all of them, %v ago", v.Age.Round(time.Millisecond))
 	case revocation.Trusted:
 		age = v.Age
@@ -69,7 +69,7 @@
 	case !r.HasKey:
 		return nil, refusal.New(refusal.RanNo, refusal.Unauthenticated, 0, "no key")
 	case age > maxUnknownKeyAge:
-		return nil, refusal.New(refusal.RanNo, refusal.KeysOutdated, g.spread(keysOutdatedRetryAfter),
+		return nil, refusal.New(refusal.RanNo, refusal.KeysOutdated, random.spread(keysOutdatedRetryAfter),
 			"unknown key, which may be newer than the keys of this entry, %v old", age.Round(time.Millisecond))
 	}
 	return nil, refusal.New(refusal.RanNo, refusal.Unauthenticated, 0, "unknown key")
--- a/router/gateway/learn.go
+++ b/router/gateway/learn.go
@@ -65,6 +65,9 @@
 
 // speedsOf returns what is known of the speeds of the engines of the pool in a phase; nil if nothing is known.
 func (n *generation) speedsOf(phase upstream.Phase) *speed.View {
+	if n.peek != nil {
+		return n.gateway.peekSpeeds(n.pool.Name, phase)
+	}
 	return n.gateway.speedsOf(n.pool.Name, phase)
 }
 
@@ -88,11 +91,7 @@
 		var chosen *upstream.Member
 		total := 0.0
 		for _, m := range drawn {
-			finish := float64(speeds.PerToken(m)) * float64(promptTokens+m.Load().Tokens)
-			if m.DataCentre != dataCentre {
-				finish += remoteCostTokens * float64(speeds.Median())
-			}
-			weight := 1 / (finish * finish)
+			weight := soonestWeight(speeds, m, dataCentre, promptTokens)
 			if total += weight; random.Float64()*total < weight {
 				chosen = m
 			}
@@ -100,3 +99,12 @@
 		return chosen
 	}
 }
+
+// soonestWeight returns the weight of a prefill engine for a prompt: the inverse square of its expected finish.
+func soonestWeight(speeds *speed.View, m *upstream.Member, dataCentre string, promptTokens int) float64 {
+	finish := float64(speeds.PerToken(m)) * float64(promptTokens+m.Load().Tokens)
+	if m.DataCentre != dataCentre {
+		finish += remoteCostTokens * float64(speeds.Median())
+	}
+	return 1 / (finish * finish)
+}
--- a/router/gateway/pace.go
+++ b/router/gateway/pace.go
@@ -29,7 +29,7 @@
 	}
 	end := time.Now()
 	if ar.record.Sends.Total() == 0 {
-		end = end.Add(time.Duration(paceWaitShare * float64(ar.route.TargetLatency)))
+		end = end.Add(ar.paceWait())
 	}
 	for {
 		now := time.Now()
@@ -47,13 +47,18 @@
 	}
 }
 
+// paceWait returns how long a request waits for an upstream below its limit before its first send.
+func (ar *activeRequest) paceWait() time.Duration {
+	return time.Duration(paceWaitShare * float64(ar.route.TargetLatency))
+}
+
 // pacedPrefills returns the prefill engines that are below their limits on work in flight, or all if none is. Learned speeds
 // go before limits: they count the queue of an engine already.
 func (n *generation) pacedPrefills(members []*upstream.Member) []*upstream.Member {
 	if n.speedsOf(upstream.PhasePrefill).Uneven() {
 		return members
 	}
-	if allowed := n.gateway.pace.Allowed(members, time.Now()); len(allowed) > 0 {
+	if allowed := n.paceLimiter().Allowed(members, time.Now()); len(allowed) > 0 {
 		return allowed
 	}
 	return members
--- a/router/gateway/prefill.go
+++ b/router/gateway/prefill.go
@@ -35,7 +35,7 @@
 	tried := make(map[string]bool)
 	for prefills := 0; prefills < maxPrefills; {
 		members := n.gateway.directory.Ready(n.pool.Name, upstream.PhasePrefill, time.Now())
-		m := n.gateway.pick(n.prefillChooser(), n.pacedPrefills(members), grant.Member.DataCentre, tried)
+		m := n.random().pick(n.prefillChooser(), n.pacedPrefills(members), grant.Member.DataCentre, tried)
 		if m == nil || prefills > 0 && !n.reserveRetries(1) {
 			// Without a prefill engine, the decode engine prefills the prompt itself.
 			return nil, true
--- a/router/gateway/quota.go
+++ b/router/gateway/quota.go
@@ -39,13 +39,20 @@
 	if !below {
 		return nil, fullRetryAfter
 	}
+	return ar.selectService(members, retryAfter, tried, func(m *upstream.Member) time.Duration { return ar.takeQuota(ctx, m) })
+}
+
+// selectService picks one of the members that was not tried. take takes a request of a member's limit; it returns 0 if the
+// request may be sent, and otherwise how long it may not. If there is no member left, selectService returns nil and the
+// shortest of these times and retryAfter; 0 if there are none.
+func (ar *activeRequest) selectService(members []*upstream.Member, retryAfter time.Duration, tried map[string]bool, take func(*upstream.Member) time.Duration) (*upstream.Member, time.Duration) {
 	excluded, copied := tried, false
 	for {
-		m := ar.gateway.pick(chooseService, members, ar.gateway.dataCentre, excluded)
+		m := ar.random().pick(chooseService, members, ar.gateway.dataCentre, excluded)
 		if m == nil {
 			return nil, retryAfter
 		}
-		denied := ar.takeQuota(ctx, m)
+		denied := take(m)
 		if denied == 0 {
 			return m, 0
 		}
@@ -81,14 +88,7 @@
 
 // refuseLimited refuses a request because the limits of all upstreams are used up for a time.
 func (ar *activeRequest) refuseLimited(ran refusal.Ran, retryAfter time.Duration) *refusal.Refusal {
-	return refusal.New(ran, refusal.Overloaded, ar.gateway.spread(retryAfter), "all upstreams of %s take no more requests for %v", ar.pool.Name, retryAfter.Round(time.Millisecond))
-}
-
-// spread extends a retry delay by up to as much again, so that callers do not return at the same time.
-func (g *Gateway) spread(retryAfter time.Duration) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return retryAfter + time.Duration(g.random.Float64()*float64(retryAfter))
+	return refusal.New(ran, refusal.Overloaded, ar.random().spread(retryAfter), "all upstreams of %s take no more requests for %v", ar.pool.Name, retryAfter.Round(time.Millisecond))
 }
 
 // allLimited returns the time until the first of the upstreams may take a request, as far as this entry knows: by its limit
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -86,7 +86,12 @@
 	if r.Route == nil {
 		return ""
 	}
-	switch k := r.Route.Kind.(type) {
+	return kindName(r.Route.Kind)
+}
+
+// kindName returns the name of a kind in metrics and explanations.
+func kindName(kind ingress.Kind) string {
+	switch k := kind.(type) {
 	case ingress.Idempotent:
 		return "idempotent"
 	case ingress.NonIdempotent:
