--- a/gooseberryctl/explain.go
+++ b/gooseberryctl/explain.go
@@ -16,22 +16,47 @@
 )
 
 type (
-	// ExplainCommand explains the routing of a request, the pools of an upstream, or the outcome of a logged request.
+	// ExplainCommand explains the routing of a request by a configuration, the pools of an upstream, the outcome of a logged
+	// request, or where an entry would send a request now.
 	ExplainCommand struct {
 		File     string   `xor:"source" type:"existingfile" help:"Configuration file to explain."`
 		Platform string   `xor:"source" help:"IP:port of the platform whose configuration to explain."`
 		Log      []string `xor:"source" type:"existingfile" help:"Log file of a process, for --request. The flag may be repeated."`
 		Partner  string   `help:"Partner that sends the request."`
-		Model    string   `xor:"what" required:"" help:"Model of the request."`
-		Service  string   `xor:"what" required:"" help:"Service of the request."`
-		Upstream string   `xor:"what" required:"" help:"Upstream to explain."`
-		Request  string   `xor:"what" required:"" help:"ID of a served or refused request, as sent by its caller."`
+		Model    string   `help:"Model of the request."`
+		Service  string   `xor:"what" help:"Service of the request."`
+		Upstream string   `xor:"what" help:"Upstream to explain."`
+		Request  string   `xor:"what" help:"ID of a served or refused request, as sent by its caller."`
+		Entry    string   `xor:"what,source" help:"Control IP:port of the entry to ask where it would send a request now, and why. Nothing is sent."`
+
+		EntryRequest `embed:"" group:"The request for --entry"`
 	}
 )
 
+// Validate implements the check of the command line. Besides --entry, --model is exclusive like the other flags of its kind.
+func (c *ExplainCommand) Validate() error {
+	others := map[string]string{"--service": c.Service, "--upstream": c.Upstream, "--request": c.Request}
+	set := c.Model != "" || c.Entry != ""
+	for _, flag := range []string{"--service", "--upstream", "--request"} {
+		if c.Model != "" && others[flag] != "" {
+			return eris.Errorf("--model and %s can't be used together", flag)
+		}
+		set = set || others[flag] != ""
+	}
+	if !set {
+		return eris.New("missing flags: --model=STRING or --service=STRING or --upstream=STRING or --request=STRING or --entry=STRING")
+	}
+	if c.Entry == "" && c.isSet() {
+		return eris.New("the flags of a request for an entry require --entry")
+	}
+	return nil
+}
+
 // Run implements the command.
 func (c *ExplainCommand) Run(o *output) error {
 	switch {
+	case c.Entry != "":
+		return explainEntry(o, c.Entry, c.Model, c.EntryRequest)
 	case c.Request != "" && len(c.Log) == 0:
 		return &faultError{message: "--request requires the log files of the entries: set --log"}
 	case c.Request != "":
--- a/gooseberryctl/gooseberryctl.go
+++ b/gooseberryctl/gooseberryctl.go
@@ -30,7 +30,7 @@
 	// Commands contains the commands and the global flags.
 	Commands struct {
 		Check   CheckCommand     `cmd:"" help:"Check a configuration or settings file with the code of the daemons, and list every fault."`
-		Explain ExplainCommand   `cmd:"" help:"Show the pools and upstreams for a request, the pools of an upstream with the reasons, or the log lines and outcome of one request."`
+		Explain ExplainCommand   `cmd:"" help:"Show the pools and upstreams for a request, the pools of an upstream with the reasons, the log lines and outcome of one request, or where an entry would send a request now, and why."`
 		Diff    DiffCommand      `cmd:"" help:"Show which upstreams change pool or role between two configuration files."`
 		Status  StatusCommand    `cmd:"" help:"Show the revision in force, load and state of each process, and flag processes with an older revision."`
 		Watch   WatchCommand     `cmd:"" help:"Wait until a revision is in force on every process, at most for the timeout, and show the state of each process."`
