--- a/router/adapter/explain/explain.go
+++ b/router/adapter/explain/explain.go
@@ -30,8 +30,8 @@
 	maxQueryBytes = MaxBodyBytes/3*4 + 64<<10
 	// maxAnswerBytes bounds an answer: some 400 bytes for each of 2,100 upstreams.
 	maxAnswerBytes = 8 << 20
-	// readTimeout bounds the time in which a query arrives. Only one is answered at a time.
-	readTimeout = 3 * time.Second
+	// queryTimeout bounds the time in which a query arrives and its answer is read. Only one is answered at a time.
+	queryTimeout = 3 * time.Second
 	// maxTokens bounds a number of tokens.
 	maxTokens = 1e9
 )
@@ -188,8 +188,11 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	// An error means that the connection has no deadlines, as in tests.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+	// Errors mean that the connection is closed. The server resets the deadline for reads itself.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(queryTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(queryTimeout))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	var q Query
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQueryBytes))
 	d.DisallowUnknownFields()
--- a/router/gateway/explain.go
+++ b/router/gateway/explain.go
@@ -68,7 +68,12 @@
 		e.Customer = a.customer.Name
 	}
 	if refused != nil {
-		e.Refusal = p.expect(func() *refusal.Refusal { _, refused := g.admit(r, p.random); return refused })
+		e.Refusal = p.expect(func() *refusal.Refusal {
+			if _, again := g.admit(r, p.random); again != nil {
+				return again
+			}
+			return refused
+		})
 		return e
 	}
 	total := 0
@@ -150,12 +155,12 @@
 		return nil
 	}
 	*p.random.fixed = 1
-	longest := least.RetryAfter
-	if most := refuse(); most != nil && most.RetryAfter > longest+retryAfterResolution {
-		longest = most.RetryAfter
+	shortest, longest := least.RetryAfter, least.RetryAfter
+	if other := refuse(); other != nil && (other.RetryAfter-shortest).Abs() > retryAfterResolution {
+		shortest, longest = min(shortest, other.RetryAfter), max(longest, other.RetryAfter)
 	}
 	return &ExpectedRefusal{
-		Reason: least.Reason.String(), RetryAfterMS: least.RetryAfter.Milliseconds(), MaxRetryAfterMS: longest.Milliseconds(), Why: least.Message,
+		Reason: least.Reason.String(), RetryAfterMS: shortest.Milliseconds(), MaxRetryAfterMS: longest.Milliseconds(), Why: least.Message,
 		refusal: least,
 	}
 }
