--- a/gooseberryctl/explain_entry.go
+++ b/gooseberryctl/explain_entry.go
@@ -17,6 +17,7 @@
 	"gooseberrypin.example/router/access"
 	"gooseberrypin.example/router/adapter/explain"
 	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/upstream"
 )
 
 const (
@@ -229,7 +230,11 @@
 			o.printLine("waits up to %d ms until an upstream is below its pace limit", p.WaitsMS)
 		}
 		for _, phase := range p.Phases {
-			o.printLine("%s: %s", phase.Phase, choiceText(phase))
+			name := phase.Phase
+			if name == upstream.PhaseNone.String() {
+				name = "upstream"
+			}
+			o.printLine("%s: %s", name, choiceText(phase))
 		}
 		if p.Refusal != nil && len(a.Pools) > 1 {
 			o.printLine("refused in %s: %s", p.Pool, refusalText(p.Refusal))
