--- a/router/gateway/explanation.go
+++ b/router/gateway/explanation.go
@@ -12,8 +12,9 @@
 	// AtPaceLimit is the state of an upstream with as much work in flight as this entry may have there.
 	AtPaceLimit = "at_pace_limit"
 
-	// ByLoad and BySpeed are the ways in which an upstream is chosen.
-	ByLoad  = "load"
+	// ByLoad means that the upstream with the least work of this entry is chosen.
+	ByLoad = "load"
+	// BySpeed means that engines are drawn with weights of their learned speeds.
 	BySpeed = "speed"
 )
 
