--- a/router/adapter/explain/explain.go
+++ b/router/adapter/explain/explain.go
@@ -48,7 +48,8 @@
 		Caller string `json:"caller,omitempty"`
 		Body   []byte `json:"body,omitempty"`
 		Model  string `json:"model,omitempty"`
-		// Tokens is the number of tokens of a generation, or nil.
+		// Tokens is the number of tokens of a generation, or nil. Without it, the request counts as one without a prompt: its
+		// model, length hint and prompt parts make no difference.
 		Tokens *Tokens `json:"tokens,omitempty"`
 		// LengthHint is the expected number of output tokens; 0 if it is not stated.
 		LengthHint  int          `json:"length_hint,omitempty"`
@@ -140,8 +141,6 @@
 		return &FieldError{"length_hint", strconv.Itoa(q.LengthHint) + " is not between 0 and 1e9"}
 	case q.WaitMS < 0 || q.WaitMS > math.MaxInt64/int64(time.Millisecond):
 		return &FieldError{"wait_ms", strconv.FormatInt(q.WaitMS, 10) + " is negative or too long"}
-	case q.Tokens == nil && (len(q.PromptParts) > 0 || q.LengthHint > 0 || q.Model != ""):
-		return &FieldError{"tokens", "a model, prompt parts or a length hint require the numbers of tokens"}
 	case len(q.Body) > MaxBodyBytes:
 		return &FieldError{"body", strconv.Itoa(len(q.Body)) + " bytes are more than " + strconv.Itoa(MaxBodyBytes)}
 	}
