--- a/router/gateway/explain_test.go
+++ b/router/gateway/explain_test.go
@@ -15,6 +15,7 @@
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/reservation"
 	"gooseberrypin.example/router/speed"
+	"gooseberrypin.example/router/upstream"
 )
 
 // explainKinds are the kinds of routes in the tests of explanations.
@@ -110,3 +111,101 @@
 	is.Equal(e.Version, int64(0))
 	is.Equal(e.Refusal.Reason, "no_configuration")
 }
+
+// Guards against an explanation that overlooks a planned stop.
+func TestExplanationDuringAPlannedStop(t *testing.T) {
+	for name, kind := range explainKinds {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newGateway(t, &fakeUpstreams{}, kind)
+				g.BeginShutdown(time.Now(), time.Now().Add(100*time.Millisecond))
+				time.Sleep(time.Millisecond)
+				e := g.Explain(request())
+				refused := g.Serve(t.Context(), request(), &recordedReply{})
+				is.Equal(e.Refusal.Reason, "leaving")
+				is.Equal(e.Refusal.Reason, refused.Reason.String())
+				is.Equal(e.Refusal.RetryAfterMS, refused.RetryAfter.Milliseconds())
+			})
+		})
+	}
+}
+
+// Guards against a refusal that is stated although another pool of the route would serve the request, and against one that is
+// left out although none would.
+func TestExplanationOfARouteWithSeveralPools(t *testing.T) {
+	is := is.New(t)
+	rules, d := &ingress.Store{}, upstream.NewDirectory()
+	rules.Put(&ingress.Configuration{
+		Version: 1, Pools: map[string]ingress.Pool{"a": {Name: "a"}, "b": {Name: "b"}, "c": {Name: "c"}},
+		Routes: []ingress.Route{{
+			Name: "r", Host: "a", Prefix: "/", Kind: ingress.Idempotent{}, Timeout: time.Second, MaxAttempts: 1,
+			Shares: []ingress.Share{{Pool: "a", Weight: 3}, {Pool: "b", Weight: 1}, {Pool: "c"}},
+		}},
+	})
+	g := gateway.New(rules, d, &fakeUpstreams{})
+	e := g.Explain(request())
+	is.Equal(e.Refusal.Reason, "no_upstream")
+	is.Equal(len(e.Pools), 2)
+	d.Put(upstream.Upstream{ID: "s", Pool: "b", Slots: 4})
+	e = g.Explain(request())
+	is.Equal(e.Refusal, nil)
+	is.Equal(e.Pools[0].Chance, 0.75)
+	is.Equal(e.Pools[0].Refusal.Reason, "no_upstream")
+	is.Equal(e.Pools[1].Chance, 0.25)
+	is.Equal(e.Pools[1].Refusal, nil)
+	is.Equal(e.Pools[1].Phases[0].Chosen, "s")
+}
+
+// Guards against weights that differ from how often engines are chosen where they are placed by speed.
+func TestExplanationWithUnevenEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, speeds := &fakeUpstreams{}, speed.NewTable(1.5)
+		g := newGateway(t, f, ingress.Streaming{}, gateway.WithSpeeds(speeds))
+		perToken := map[string]time.Duration{"p1": 30 * time.Microsecond, "p2": 120 * time.Microsecond, "g1": 4 * time.Millisecond, "g2": 12 * time.Millisecond}
+		record := func() {
+			for id, took := range perToken {
+				u := upstream.Upstream{ID: id, Pool: "chat", Phase: upstream.PhasePrefill, Slots: 4}
+				if id[0] == 'g' {
+					u.Phase = upstream.PhaseDecode
+				}
+				speeds.Record(u, 1000, 1000*took, time.Now())
+			}
+		}
+		for range 40 {
+			record()
+			time.Sleep(100 * time.Millisecond)
+			// Requests compute the verdicts; explanations do not.
+			g.Serve(t.Context(), request(), &recordedReply{})
+		}
+		e := g.Explain(request())
+		is.Equal(e.Refusal, nil)
+		decode, prefill := e.Pools[0].Phases[0], e.Pools[0].Phases[1]
+		for _, phase := range []gateway.PhaseExplanation{decode, prefill} {
+			is.Equal(phase.By, gateway.BySpeed)
+			is.Equal(phase.Chosen, "")
+			is.True(phase.Candidates[0].Weight > 2*phase.Candidates[1].Weight && phase.Candidates[1].Weight > 0)
+			sum := phase.Candidates[0].Weight + phase.Candidates[1].Weight
+			is.True(sum > 0.999 && sum < 1.001)
+			is.True(phase.Candidates[0].PerTokenUS > 0 && phase.Candidates[0].PerTokenUS < phase.Candidates[1].PerTokenUS)
+			is.True(phase.Candidates[0].SpeedAgeMS <= 100)
+		}
+		// With two prefill engines both are drawn, so the weights are the chances.
+		f.reset(nil)
+		const requests = 2000
+		for range requests {
+			record()
+			g.Serve(t.Context(), request(), &recordedReply{})
+		}
+		chosen := 0
+		for _, id := range f.sends() {
+			if id == "p1" {
+				chosen++
+			}
+		}
+		share := float64(chosen) / requests
+		t.Logf("%.3f of the prompts, weight %.3f", share, prefill.Candidates[0].Weight)
+		is.True(share > prefill.Candidates[0].Weight-0.05 && share < prefill.Candidates[0].Weight+0.05)
+	})
+}
