Quarantine: the simulation's entries report as in package membership

Cause: the simulation sent each entry's urgent update to all others at most 200 ms after the last one. package membership sends it to 8 entries, at most 1.6 s after the last one, and passes on what is new; in each second an entry also exchanges updates with one random entry. So reports are on their way for longer than the simulation assumed.

Change: gossip, exchange and send follow package membership. Cases and bounds are unchanged.

--- a/router/quarantine/simulation_test.go
+++ b/router/quarantine/simulation_test.go
@@ -30,12 +30,16 @@
 	// beginning is how long an answer counts as just begun, as at the gateway.
 	beginning = 250 * time.Millisecond
 	// proofDelay is the time from the end of an engine until a refused connection proves it, gossipDelay the longest
-	// until another entry receives an urgent update.
+	// until another entry receives an update.
 	proofDelay  = 30 * time.Millisecond
 	gossipDelay = 60 * time.Millisecond
-	gossipPause = 200 * time.Millisecond
-	engineDown  = 2 * time.Second
-	badPart     = "bad"
+	// gossipFanout is the number of entries that receive an urgent update, and gossipPause the time until the next one of
+	// the same entry, as in package membership. Each entry exchanges updates with a random one in each gossipInterval.
+	gossipFanout   = 8
+	gossipPause    = 1600 * time.Millisecond
+	gossipInterval = time.Second
+	engineDown     = 2 * time.Second
+	badPart        = "bad"
 )
 
 type (
@@ -73,8 +77,8 @@
 	simulatedEntry struct {
 		table   *quarantine.Table
 		tracker *quarantine.Tracker
-		// gossiping is whether it has sent an update within gossipPause.
-		gossiping bool
+		// gossiping is whether it has sent an urgent update within gossipPause, pending whether another one is due then.
+		gossiping, pending bool
 	}
 
 	// simulation plays an incident in simulated time.
@@ -111,23 +115,42 @@
 	s.later[at] = append(s.later[at], do)
 }
 
-// gossip sends what an entry knows to all others, each after a time of its own, and at most once in gossipPause.
+// gossip sends what an entry knows to some of the others, at most once in gossipPause.
 func (s *simulation) gossip(from int) {
-	if s.fleet[from].gossiping {
+	e := &s.fleet[from]
+	if e.gossiping {
+		e.pending = true
 		return
 	}
-	s.fleet[from].gossiping = true
-	s.after(gossipPause, func() { s.fleet[from].gossiping = false })
-	s.after(gossipDelay, func() { s.send(from) })
+	e.gossiping, e.pending = true, false
+	s.after(gossipPause, func() {
+		if e.gossiping = false; e.pending {
+			s.gossip(from)
+		}
+	})
+	for _, to := range s.random.Perm(s.entries)[:min(s.entries, gossipFanout)] {
+		s.send(from, to)
+	}
 }
 
-func (s *simulation) send(from int) {
+// exchange makes an entry and a random one exchange what they know.
+func (s *simulation) exchange(from int) {
+	to := s.random.IntN(s.entries)
+	s.send(from, to)
+	s.send(to, from)
+}
+
+// send sends what an entry knows to another one, which passes it on if it is new.
+func (s *simulation) send(from, to int) {
+	if from == to {
+		return
+	}
 	update := s.fleet[from].table.Shared(s.time(), 28)
-	for i := range s.fleet {
-		if i != from {
-			s.after(time.Duration(s.random.Int64N(int64(gossipDelay))), func() { s.fleet[i].table.Merge(update, s.time()) })
+	s.after(time.Duration(s.random.Int64N(int64(gossipDelay))), func() {
+		if s.fleet[to].table.Merge(update, s.time()) {
+			s.gossip(to)
 		}
-	}
+	})
 }
 
 // request sends a request from an entry to a random engine, unless its content is quarantined.
@@ -248,11 +271,10 @@
 				s.end(i, s.engine[i].starts)
 			}
 		})
-		s.every(0, time.Second, func() {
-			for i := range s.fleet {
-				s.gossip(i)
-			}
-		})
+		for i := range s.fleet {
+			// The entries begin their exchanges at different times.
+			s.every(0, gossipInterval, func() { s.after(gossipInterval*time.Duration(i)/time.Duration(s.entries), func() { s.exchange(i) }) })
+		}
 	}
 }
 
