--- a/router/quarantine/attribution_test.go
+++ b/router/quarantine/attribution_test.go
@@ -194,8 +194,8 @@
 		"no report":                 {0, 0, "", "p"},
 		"report after 1 ms":         {0, time.Millisecond, "", "p x"},
 		"report at the latest time": {0, reportTime - time.Millisecond, "", "p x"},
-		"few answers":               {63, 0, "", "p"},
-		"many answers":              {64, 0, "p", "p"},
+		"few answers":               {23, 0, "", "p"},
+		"many answers":              {24, 0, "p", "p"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -15,9 +15,9 @@
 	defaultCapacity = 1024
 	// evictionFactor is how many times its capacity a table may hold while it records a crash.
 	evictionFactor = 2
-	// commonPartAnswers is the number of complete answers after which a table knows the common parts: one that a tenth of
-	// the requests have is missed once in 800 times.
-	commonPartAnswers = 64
+	// commonPartAnswers is the number of complete answers after which a table knows the common parts: one that a quarter of
+	// the requests have is missed once in a thousand times.
+	commonPartAnswers = 24
 )
 
 type (
