--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -92,6 +92,10 @@
 	PaceFell = Event{Number: 6072, Text: "limit on work in flight fell"}
 	// PaceRecovered is logged when such a limit has recovered.
 	PaceRecovered = Event{Number: 6073, Text: "limit on work in flight recovered"}
+	// StreamMoved is logged when a stream continues at another engine because it would not end in time at the first one.
+	StreamMoved = Event{Number: 6080, Text: "stream moved to another engine"}
+	// StreamMoveFailed is logged when a stream did not move to another engine.
+	StreamMoveFailed = Event{Number: 6081, Text: "moving a stream failed"}
 	// MemoryRefused is logged when a request is refused because no memory is left for its body.
 	MemoryRefused = Event{Number: 6040, Text: "request refused for memory"}
 	// BodyStalled is logged when the body of a request is not complete in time.
--- a/router/gateway/customer_quota.go
+++ b/router/gateway/customer_quota.go
@@ -76,7 +76,7 @@
 		return
 	}
 	switch reason {
-	case FirstTry, Prefill, AfterNotRun:
+	case FirstTry, Prefill, AfterNotRun, Move:
 	case Retry, Hedge, Resume:
 		ar.charge.taken += ar.charge.amount
 		ar.gateway.customerQuota.Charge(ar.customer.Name, ar.charge.amount)
--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/memory"
+	"gooseberrypin.example/router/migration"
 	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/refusal"
 	"gooseberrypin.example/router/reservation"
@@ -68,6 +69,8 @@
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
 		pace *pace.Limiter
+		// moves moves running streams between engines; its mover is nil if they do not move.
+		moves streamMoves
 		// contention reports whether generations compete for memory by their standing.
 		contention bool
 		// shares holds the fair shares of customers; nil if their loads are not known.
@@ -95,6 +98,7 @@
 	poolState struct {
 		retryBudget *retry.Budget
 		memoryQueue *reservation.Queue
+		planner     *migration.Planner
 		estimates   *estimates
 		// refused holds the refused generations that their callers may send again.
 		refused refusedRequests
@@ -255,7 +259,7 @@
 	if s, found := g.pools[p.Name]; found {
 		return s
 	}
-	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates()}
+	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates(), planner: migration.NewPlanner()}
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -59,6 +59,12 @@
 		reservedRetries int
 		// stallMonitor watches the current decode; nil if the decode may not move to another engine.
 		stallMonitor *stallMonitor
+		// move may move the stream of the current decode to a faster engine; nil if it does not.
+		move *streamMove
+		// handover is where a stream continues whose run was stopped; nil if there is none.
+		handover *handover
+		// moved reports whether the run of the stream was stopped to move it.
+		moved bool
 	}
 
 	// roundOutcome is the outcome of a round: done or nextRound.
@@ -101,7 +107,11 @@
 // rounds runs rounds until one finishes the request, at most maxRounds.
 func (n *generation) rounds(ctx context.Context) *refusal.Refusal {
 	for range maxRounds {
-		switch o := n.round(ctx).(type) {
+		outcome := n.round(ctx)
+		if n.handover != nil {
+			outcome = n.continueMoved(ctx)
+		}
+		switch o := outcome.(type) {
 		case done:
 			return o.refusal
 		case nextRound:
@@ -286,9 +296,19 @@
 		"no decode memory for %d tokens, %d others wait", n.record.Tokens, n.poolState.memoryQueue.Length())}
 }
 
-// decode streams the answer of the engine to the caller. A stall monitor cancels the decode when it has found
-// another engine for a stalled stream. granted is when the memory was granted.
+// decode streams the answer of the engine to the caller. granted is when the memory was granted.
 func (n *generation) decode(ctx context.Context, m *upstream.Member, options DecodeOptions, granted time.Time) roundOutcome {
+	outcome, ran := n.tryDecode(ctx, m, options, granted)
+	if !ran {
+		n.freeCacheAndReservation(m, options)
+		return n.retryOrRefuse("the decode engine did not take the request")
+	}
+	return outcome
+}
+
+// tryDecode streams the answer of the engine to the caller, or returns false if the engine did not run the request. A stall
+// monitor cancels the decode when it has found another engine for a stalled stream.
+func (n *generation) tryDecode(ctx context.Context, m *upstream.Member, options DecodeOptions, granted time.Time) (roundOutcome, bool) {
 	decodeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.stallMonitor = n.startStallMonitor(ctx, cancel)
@@ -299,33 +319,50 @@
 	attempt := n.newAttempt(m)
 	result := n.gateway.upstreams.Decode(decodeCtx, m, n.request, options)
 	if r, ok := result.(NotRun); !ok || r.Reason != Unreachable {
-		n.countEngineRequest()
+		n.countDecode()
 	}
 	switch r := result.(type) {
 	case Answer:
 		n.stallMonitor.dataReceived()
 		n.ran = refusal.RanYes
-		n.decodeRuns++
+		n.countRun()
 		defer r.Body.Release()
-		return n.relayAnswer(ctx, m, attempt, r, granted)
+		n.move = n.startMove(ctx, cancel, m, r.Status)
+		defer n.stopMove(ctx)
+		return n.relayAnswer(ctx, m, attempt, r, granted), true
 	case NotRun:
 		if ctx.Err() == nil {
 			n.recordFailure(m, n.decodeReason, r.Reason, r.Err)
 		}
-		n.freeCacheAndReservation(m, options)
-		return n.retryOrRefuse("the decode engine did not take the request")
+		return nil, false
 	case Unknown:
 		n.ran = max(n.ran, refusal.RanUnknown)
-		n.decodeRuns++
+		n.countRun()
 		n.recordUnknown(ctx, attempt, m, r.ConnectionLost)
-		return n.resumeOrRefuse(ctx, m, r.Err)
+		return n.resumeOrRefuse(ctx, m, r.Err), true
+	}
+	return nextRound{}, true
+}
+
+// countDecode counts a decode that reached an engine. A stream that has moved continues the same run.
+func (n *generation) countDecode() {
+	if n.decodeReason != Move {
+		n.countEngineRequest()
+	}
+}
+
+// countRun counts a decode that an engine may have run. A stream that has moved continues the same run.
+func (n *generation) countRun() {
+	if n.decodeReason != Move {
+		n.decodeRuns++
 	}
-	return nextRound{}
 }
 
 // nextSendReason returns why the next decode is sent.
 func (n *generation) nextSendReason() SendReason {
 	switch {
+	case n.handover != nil:
+		return Move
 	case n.resuming:
 		return Resume
 	case n.record.Sends[FirstTry] > 0:
@@ -355,6 +392,11 @@
 	n.record.Cause = err.Error()
 	n.logLostAnswer(m, n.decodeReason, err)
 	n.gateway.recordLostAnswer(m, err)
+	return n.resumeElsewhere(m, err)
+}
+
+// resumeElsewhere continues a stream that was broken off at an engine, or refuses the request.
+func (n *generation) resumeElsewhere(m *upstream.Member, err error) roundOutcome {
 	n.avoid = m.ID
 	kind, _ := n.route.Kind.(ingress.Streaming)
 	if refused := n.refuseQuarantined(n.ran); refused != nil {
--- a/router/gateway/record.go
+++ b/router/gateway/record.go
@@ -62,6 +62,8 @@
 		MaxGap time.Duration
 		// Resumptions counts how often a stream was continued at another upstream.
 		Resumptions int
+		// Move is what became of a stream that was stopped to move it; empty if it was not.
+		Move MoveOutcome
 		// Cause is the last failure of an upstream.
 		Cause string
 		// Refusal is nil for a request with a complete answer.
@@ -108,6 +110,9 @@
 		"max_gap_ms", r.MaxGap.Milliseconds(), "resumed", r.Resumptions, "spent_ms", r.SinceFirstTry.Milliseconds(),
 		"waited_ms", r.MemoryWait.Milliseconds(), "prefill_ms", r.PrefillTime.Milliseconds(), "first_ms", r.TimeToFirstByte.Milliseconds(), "took_ms", r.Took.Milliseconds(),
 	}
+	if r.Move != "" {
+		fields = append(fields, "move", string(r.Move))
+	}
 	if r.Customer != "" {
 		fields = append(fields, "customer", r.Customer)
 	}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -56,6 +56,10 @@
 		awaitsNumber bool
 		// sample measures the speed of the current engine.
 		sample decodeSample
+		// move may move the current stream; nil if it does not move.
+		move *streamMove
+		// onNextEvent is called once when the next numbered event was forwarded, unless it is nil.
+		onNextEvent func(at time.Time)
 		// answerBeganAt is when the current engine sent its first numbered event; zero if it has sent none.
 		answerBeganAt time.Time
 	}
@@ -91,6 +95,7 @@
 	before := n.record.Events
 	began := time.Now()
 	n.relay.sample = decodeSample{member: m}
+	n.relay.move = n.move
 	err := n.relay.forward(ctx, a, n.stallMonitor)
 	t.Begun = !n.relay.answerBeganAt.IsZero() && time.Since(n.relay.answerBeganAt) > beginningTime
 	if events := n.record.Events - before; events > 0 {
@@ -101,6 +106,7 @@
 			n.poolState.estimates.recordDecode(events*engine.TokensPerEvent, time.Since(began))
 		}
 	}
+	stopped := n.awaitMove(ctx, err)
 	switch {
 	case err == nil:
 		m.Succeeded(time.Since(began))
@@ -110,7 +116,13 @@
 		n.recordAbandoned(t)
 		return done{refusal.New(refusal.RanYes, refusal.Cancelled, 0, "%v", err)}
 	}
-	n.recordUnknown(ctx, t, m, isConnectionLoss(err) && !n.stallMonitor.decodeCancelled())
+	if stopped == nil || !stopped.confirmed {
+		n.recordUnknown(ctx, t, m, isConnectionLoss(err) && !n.stallMonitor.decodeCancelled())
+	}
+	if stopped != nil {
+		n.handover = stopped
+		return nextRound{}
+	}
 	return n.resumeOrRefuse(ctx, m, err)
 }
 
@@ -230,7 +242,15 @@
 		r.sampleEvent(now)
 	}
 	err := r.activeRequest.reply.Write(e.Raw)
-	r.sample.writing += time.Since(now)
+	writing := time.Since(now)
+	r.sample.writing += writing
+	if e.HasID {
+		r.move.eventForwarded(now, writing)
+	}
+	if e.HasID && r.onNextEvent != nil {
+		r.onNextEvent(now)
+		r.onNextEvent = nil
+	}
 	if err != nil || ctx.Err() != nil {
 		return errCallerDisconnected
 	}
--- a/router/gateway/send.go
+++ b/router/gateway/send.go
@@ -13,6 +13,8 @@
 	Hedge
 	// Resume continues a truncated stream at another upstream.
 	Resume
+	// Move continues a stream whose run was stopped, at the engine that holds its memory.
+	Move
 
 	sendReasonCount = iota
 )
@@ -40,6 +42,8 @@
 		return "hedge"
 	case Resume:
 		return "resume"
+	case Move:
+		return "move"
 	}
 	return "unknown"
 }
--- a/router/ingress/configuration.go
+++ b/router/ingress/configuration.go
@@ -65,6 +65,8 @@
 		MaxReservationLife time.Duration
 		// TokensPerEvent is the number of tokens in one event of a stream.
 		TokensPerEvent int
+		// NoMoves is true if the engines can't copy the memory of running requests to each other.
+		NoMoves bool
 	}
 
 	// Pool describes the upstreams of one service.
--- a/router/metric/metric.go
+++ b/router/metric/metric.go
@@ -41,6 +41,7 @@
 		sends       *prometheus.CounterVec
 		quotas      *prometheus.CounterVec
 		refusals    *prometheus.CounterVec
+		streamMoves *prometheus.CounterVec
 		servedCount atomic.Int64
 		customers   *prometheus.CounterVec
 		// customerQuotas and customerAmounts count requests and their amounts.
@@ -67,7 +68,7 @@
 			"Time of a request's hops by pool: line (decode memory), prefill, answer (a decode or a call, to its end).", "pool", "hop"),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberry_sends_total",
-			Help: "What was sent to upstreams by pool and hop: first, prefill, after_not_run, retry, hedge, resume; reserve for reservations.",
+			Help: "What was sent to upstreams by pool and hop: first, prefill, after_not_run, retry, hedge, resume, move; reserve for reservations.",
 		}, []string{"pool", "hop"}),
 		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gooseberry_quota_requests_total",
@@ -92,7 +93,11 @@
 		Name: "gooseberry_limit_refusals_total",
 		Help: "Requests and connections of clients that were refused or closed by a limit of this process, by cause: memory, connections, head_limit, head_timeout, body_stalled, answer_unread.",
 	}, []string{"cause"})
-	s.registry.MustRegister(s.refusals, s.customers, s.customerQuotas, s.customerAmounts, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
+	s.streamMoves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gooseberry_stream_moves_total",
+		Help: "Moves of running streams to other engines by pool and outcome: moved; given_up (not stopped), returned (stopped, continued at its engine), broken (stopped, not continued).",
+	}, []string{"pool", "outcome"})
+	s.registry.MustRegister(s.streamMoves, s.refusals, s.customers, s.customerQuotas, s.customerAmounts, s.quotas, s.requests, s.firstByte, s.total, s.memoryWait, s.hopDuration, s.sends)
 	return s
 }
 
@@ -105,6 +110,11 @@
 	s.quotas.WithLabelValues(string(o)).Inc()
 }
 
+// StreamMove counts a move of a stream. It is a gateway.MoveObserver.
+func (s *Set) StreamMove(pool string, o gateway.MoveOutcome) {
+	s.streamMoves.WithLabelValues(pool, string(o)).Inc()
+}
+
 // CustomerQuota counts a request of a customer with a quota, and its amount.
 func (s *Set) CustomerQuota(customer string, o quota.Outcome, amount float64) {
 	name := s.customerNames.label(customer)
--- a/router/migration/migration.go
+++ b/router/migration/migration.go
@@ -23,6 +23,8 @@
 	lengthDeviation = 0.5
 	// unknownLengthShare is the assumed median of the output's length as a share of its maximum, if there is no estimate.
 	unknownLengthShare = 0.5
+	// minProbability is the least probability of a length from which on an estimate says something of a stream.
+	minProbability = 1e-9
 	// minGain is the least increase of the probability of ending in time that is worth the price of a move. With 0.3, six times as
 	// many moved streams were cut off, as they moved early or for little.
 	minGain = 0.5
@@ -160,29 +162,48 @@
 	*mean += time.Duration(timeWeight * float64(took-*mean))
 }
 
+// IsAtRisk reports whether a move may be worthwhile at all.
+func (s Stream) IsAtRisk() bool { return s.EndsInTime() <= 1-minGain }
+
+// Left returns the expected number of further events, the median; 0 if nothing is known of the length.
+func (s Stream) Left() float64 {
+	median := s.median()
+	if median <= 0 {
+		return 0
+	}
+	received := float64(s.Received)
+	length := median * math.Exp(lengthDeviation*math.Sqrt2*math.Erfinv(1-longerThan(received, median)))
+	if s.Max > 0 {
+		length = min(length, s.Max)
+	}
+	return max(0, min(length, 2*received+median)-received)
+}
+
 // endsWithin returns the probability that a stream has at most a number of further events, given that it has not ended yet.
 func (s Stream) endsWithin(events float64) float64 {
-	received := float64(s.Received)
-	if s.Max > 0 && received+events >= s.Max {
+	received, median := float64(s.Received), s.median()
+	if s.Max > 0 && received+events >= s.Max || median <= 0 {
 		return 1
 	}
-	median := s.Estimate
-	if median <= 0 {
-		median = unknownLengthShare * s.Max
-	}
-	if median <= 0 {
-		return 1
+	now := longerThan(received, median)
+	if now < minProbability {
+		return 0
 	}
-	longerThan := func(length float64) float64 {
-		if length <= 0 {
-			return 1
-		}
-		return math.Erfc(math.Log(length/median)/(lengthDeviation*math.Sqrt2)) / 2
+	return 1 - longerThan(received+events, median)/now
+}
+
+// median returns the median of the length; 0 if nothing is known of it.
+func (s Stream) median() float64 {
+	if s.Estimate > 0 {
+		return s.Estimate
 	}
-	now := longerThan(received)
-	if now < math.SmallestNonzeroFloat64*1e10 {
-		// The estimate says nothing of a stream that is so much longer.
-		return 0
+	return unknownLengthShare * s.Max
+}
+
+// longerThan returns the probability that a stream is longer than a length.
+func longerThan(length, median float64) float64 {
+	if length <= 0 {
+		return 1
 	}
-	return 1 - longerThan(received+events)/now
+	return math.Erfc(math.Log(length/median)/(lengthDeviation*math.Sqrt2)) / 2
 }
--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -324,12 +324,7 @@
 		q.grants.record(now, len(q.waiting) > 0)
 		t.result <- result{grant: Grant{Member: m, Reservation: o.ID, Attempts: t.attempts}, granted: true}
 	case Full:
-		if engine.refusedTokens == 0 || t.Tokens < engine.refusedTokens || !now.Before(engine.retryAt) {
-			engine.refusedTokens = t.Tokens
-		}
-		engine.retryAt = now.Add(q.recheckInterval)
-		q.pacing.refused = now
-		q.recordFull(engine, t, m, now)
+		q.recordRefusal(t, m, now)
 	case Limited:
 		engine.refusedTokens, engine.retryAt = 1, now.Add(o.RetryAfter)
 	case Failed:
@@ -339,6 +334,17 @@
 	}
 }
 
+// recordRefusal records that an engine has no memory for a waiter. The caller holds the lock.
+func (q *Queue) recordRefusal(t *ticket, m *upstream.Member, now time.Time) {
+	engine := q.engineMemory(m.ID)
+	if engine.refusedTokens == 0 || t.Tokens < engine.refusedTokens || !now.Before(engine.retryAt) {
+		engine.refusedTokens = t.Tokens
+	}
+	engine.retryAt = now.Add(q.recheckInterval)
+	q.pacing.refused = now
+	q.recordFull(engine, t, m, now)
+}
+
 func (q *Queue) remove(t *ticket) {
 	if i := slices.Index(q.waiting, t); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
--- a/router/reservation/speed.go
+++ b/router/reservation/speed.go
@@ -37,9 +37,43 @@
 	return func(q *Queue) { q.speeds, q.memoryTokens = speeds, memoryTokens }
 }
 
-// chooseBySpeed returns an engine that may have enough free memory, or nil. Of the most suitable engines, it draws two at
-// random, with weights of the inverse of their time per token: an engine frees memory in proportion to its speed.
+// chooseBySpeed returns an engine that may have enough free memory, or nil.
 func (q *Queue) chooseBySpeed(t *ticket, members []*upstream.Member, speeds *speed.View, now time.Time) *upstream.Member {
+	suitable, _ := q.mostSuitable(t, members, speeds, now)
+	return q.drawOfTwo(t, suitable, speeds, now)
+}
+
+// Destination returns an engine to which a stream may move, or nil: one that is likely to have enough free memory, and at
+// which the stream would end before its deadline. It is drawn as for a waiter, so that entries do not all choose the same one.
+// Where engines do not differ there is none.
+func (q *Queue) Destination(w Waiter, members []*upstream.Member, now time.Time) *upstream.Member {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	speeds := q.speeds()
+	if !speeds.Uneven() {
+		return nil
+	}
+	t := &ticket{Waiter: w}
+	suitable, s := q.mostSuitable(t, members, speeds, now)
+	if s >= likelyFull {
+		return nil
+	}
+	m := q.drawOfTwo(t, suitable, speeds, now)
+	if m != nil {
+		q.engineMemory(m.ID).freedUntil = time.Time{}
+	}
+	return m
+}
+
+// Refused records that an engine had no memory for a stream that was to move to it.
+func (q *Queue) Refused(w Waiter, m *upstream.Member, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recordRefusal(&ticket{Waiter: w}, m, now)
+}
+
+// mostSuitable returns the most suitable engines of those that may have enough free memory, and their suitability.
+func (q *Queue) mostSuitable(t *ticket, members []*upstream.Member, speeds *speed.View, now time.Time) ([]*upstream.Member, suitability) {
 	var suitable []*upstream.Member
 	best := tooSlow
 	for _, m := range members {
@@ -54,6 +88,12 @@
 			suitable = append(suitable, m)
 		}
 	}
+	return suitable, best
+}
+
+// drawOfTwo draws two engines at random, with weights of the inverse of their time per token: an engine frees memory in
+// proportion to its speed. It returns the faster one for a long stream, and else the one with fewer tokens of this entry.
+func (q *Queue) drawOfTwo(t *ticket, suitable []*upstream.Member, speeds *speed.View, now time.Time) *upstream.Member {
 	first, second := drawBySpeed(suitable, speeds, q.random), drawBySpeed(suitable, speeds, q.random)
 	switch {
 	case first == nil || first == second:
