--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -350,7 +350,7 @@
 	stream, _ := s.state(now)
 	pause := n.speedsOf(upstream.PhaseDecode).PerToken(h.destination) * time.Duration(n.pool.Engine.TokensPerEvent)
 	if s.ended || s.ctx.Err() != nil || !n.takesStreams(h.destination, now) || !s.sourceTakesCalls(now) || n.refuseQuarantined(refusal.RanYes) != nil ||
-		!n.poolState.planner.IsWorthwhile(stream, migration.Destination{Pause: pause, Remote: s.isRemote(h.destination)}) {
+		!n.poolState.planner.IsStillWorthwhile(stream, migration.Destination{Pause: pause, Remote: s.isRemote(h.destination)}) {
 		return false
 	}
 	s.stopping = make(chan struct{})
--- a/router/migration/migration.go
+++ b/router/migration/migration.go
@@ -5,8 +5,6 @@
 	"math"
 	"sync"
 	"time"
-
-	"gooseberrypin.example/router/retry"
 )
 
 const (
@@ -25,9 +23,14 @@
 	unknownLengthShare = 0.5
 	// minProbability is the least probability of a length from which on an estimate says something of a stream.
 	minProbability = 1e-9
-	// minGain is the least increase of the probability of ending in time that is worth the price of a move. With 0.3, six times as
-	// many moved streams were cut off, as they moved early or for little.
-	minGain = 0.5
+	// minGain is the least increase of the probability of ending in time that is worth the price of a move while as many moves
+	// as possible are saved up, and scarceGain that while none is.
+	minGain    = 0.2
+	scarceGain = 0.5
+	// minFinalGain is the least increase when the memory is copied.
+	minFinalGain = 0.05
+	// minPause bounds pauses for a division.
+	minPause = time.Microsecond
 	// maxMovedShare bounds the streams that move, as a share of all streams, and maxSavedMoves is the number of moves that
 	// may be saved up. Moved streams take the memory of fast engines.
 	maxMovedShare = 0.15
@@ -73,9 +76,9 @@
 
 	// Planner decides for the streams of one pool. It is safe for concurrent use.
 	Planner struct {
-		budget *retry.Budget
-
 		mu sync.Mutex
+		// allowed is the number of moves that may begin now, with fractions.
+		allowed float64
 		// copyTime is how long copies within a data centre take while the stream continues, and handover the pause after that
 		// until the next event of the stream.
 		copyTime, handover time.Duration
@@ -84,11 +87,7 @@
 
 // NewPlanner returns a planner that knows no streams.
 func NewPlanner() *Planner {
-	return &Planner{
-		budget:   retry.NewBudget(maxMovedShare, retry.WithEmptyStart(), retry.WithBurst(maxSavedMoves)),
-		copyTime: initialCopyTime,
-		handover: initialHandover,
-	}
+	return &Planner{copyTime: initialCopyTime, handover: initialHandover}
 }
 
 // Received adds an event that was received at a time, and the time that its write to the caller took.
@@ -117,23 +116,54 @@
 }
 
 // Began records that a stream has begun, which allows a share of a move.
-func (p *Planner) Began() { p.budget.RecordFirstTry() }
-
-// Reserve takes a move from those that are allowed. It returns false if none is left.
-func (p *Planner) Reserve() bool { return p.budget.Reserve(1) }
+func (p *Planner) Began() { p.allow(maxMovedShare) }
 
 // Return gives back a move that was not made.
-func (p *Planner) Return() { p.budget.Return(1) }
+func (p *Planner) Return() { p.allow(1) }
+
+func (p *Planner) allow(moves float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.allowed = min(maxSavedMoves, p.allowed+moves)
+}
+
+// Reserve takes a move from those that are allowed. It returns false if none is left.
+func (p *Planner) Reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.allowed < 1 {
+		return false
+	}
+	p.allowed--
+	return true
+}
 
 // EndsInTime returns the probability that a stream ends in time if it stays at its engine.
 func (s Stream) EndsInTime() float64 {
-	return s.endsWithin(s.Remaining.Seconds() / max(s.Pause.Seconds(), 1e-6))
+	return s.endsWithin(s.Remaining.Seconds() / max(s.Pause.Seconds(), minPause.Seconds()))
 }
 
-// IsWorthwhile reports whether a move to an engine makes it much more probable that a stream ends in time.
+// IsWorthwhile reports whether a move to an engine makes it so much more probable that a stream ends in time that it is worth its
+// price.
 func (p *Planner) IsWorthwhile(s Stream, d Destination) bool {
 	p.mu.Lock()
-	copyTime, handover := p.copyTime, p.handover
+	required := scarceGain - (scarceGain-minGain)*min(1, p.allowed/maxSavedMoves)
+	copyTime := p.copyTime
+	p.mu.Unlock()
+	return p.gain(s, d, copyTime) >= required
+}
+
+// IsStillWorthwhile reports whether a stream whose memory was copied to an engine should continue there. The price is paid, and
+// only the pause counts.
+func (p *Planner) IsStillWorthwhile(s Stream, d Destination) bool {
+	return p.gain(s, d, 0) >= minFinalGain
+}
+
+// gain returns by how much the probability that a stream ends in time increases if it moves, after a copy within a data centre that
+// takes a time.
+func (p *Planner) gain(s Stream, d Destination, copyTime time.Duration) float64 {
+	p.mu.Lock()
+	handover := p.handover
 	p.mu.Unlock()
 	if d.Remote {
 		copyTime *= remoteCopyFactor
@@ -141,10 +171,10 @@
 	}
 	left := s.Remaining - copyTime - handover
 	if left <= 0 {
-		return false
+		return 0
 	}
-	events := copyTime.Seconds()/max(s.Pause.Seconds(), 1e-6) + left.Seconds()/max(d.Pause.Seconds(), 1e-6)
-	return s.endsWithin(events)-s.EndsInTime() >= minGain
+	events := copyTime.Seconds()/max(s.Pause.Seconds(), minPause.Seconds()) + left.Seconds()/max(d.Pause.Seconds(), minPause.Seconds())
+	return s.endsWithin(events) - s.EndsInTime()
 }
 
 // Copied records how long a copy took while the stream continued.
