--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -23,9 +23,10 @@
 	moveCheckInterval = 250 * time.Millisecond
 	// maxMoveAttempts bounds the engines that are asked for room for one stream.
 	maxMoveAttempts = 3
-	// copyTimeout bounds a copy while the stream continues, and stopTimeout the copy of the rest, during which it pauses.
+	// copyTimeout bounds a copy while the stream continues, and stopTimeout the copy of the rest, during which it pauses. Engines
+	// queue copies, and a stream that is given up in the queue is lost.
 	copyTimeout = 2 * time.Second
-	stopTimeout = time.Second
+	stopTimeout = 3 * time.Second
 	// maxCopies bounds the copies while the stream continues. A further one is made if the last one took longer than the pause
 	// that callers accept, so that the rest is small and the wait for the links is known.
 	maxCopies = 2
@@ -35,6 +36,10 @@
 	// sourceQuotaWait bounds the wait until the limit of the source allows that a stream continues there. The engine keeps
 	// the memory of a stopped run for half a second or more.
 	sourceQuotaWait = 300 * time.Millisecond
+	// unconfirmedTries is how often it is tried to continue a stream at a source that has not stated that the run was stopped, and
+	// unconfirmedPause the pause between two tries: it may still be copying.
+	unconfirmedTries = 3
+	unconfirmedPause = 100 * time.Millisecond
 	// defaultMaxPause is the longest pause between events that callers accept if the route states none.
 	defaultMaxPause = 300 * time.Millisecond
 
@@ -457,8 +462,14 @@
 	h.endLoad()
 	h.source.Begin(h.tokens)
 	defer h.source.End(h.tokens)
-	if outcome, ran := n.continueAt(ctx, h, h.source); ran {
-		return outcome
+	tries := 1
+	if !h.confirmed {
+		tries = unconfirmedTries
+	}
+	for try := 0; try < tries && (try == 0 || n.pauseBeforeTry(ctx, h.source)); try++ {
+		if outcome, ran := n.continueAt(ctx, h, h.source); ran {
+			return outcome
+		}
 	}
 	n.gateway.freeHandover(h)
 	if ctx.Err() != nil {
@@ -495,6 +506,19 @@
 	return outcome, true
 }
 
+// pauseBeforeTry pauses before a further try to continue a stream at its source. It returns false if the engine asks for a pause or
+// does not answer any more.
+func (n *generation) pauseBeforeTry(ctx context.Context, source *upstream.Member) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(unconfirmedPause):
+	}
+	now := time.Now()
+	published := n.gateway.directory.Published(n.pool.Name, upstream.PhaseDecode)
+	return source.Backoff(now) == 0 && slices.ContainsFunc(published, func(m *upstream.Member) bool { return m.History == source.History })
+}
+
 // recordContinued records that a stopped stream continued at an engine at a time.
 func (n *generation) recordContinued(h *handover, m *upstream.Member, at time.Time) {
 	if m == h.source {
