Gateway: moves whose last call is lost, and engines that take no calls

Cause: a stream whose last call for a copy was lost went on with a handle that no engine needed, a broken move was counted for callers that had left, and copies were freed at engines that had asked for a pause or state a limit.

--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -44,6 +44,12 @@
 	// defaultMaxPause is the longest pause between events that callers accept if the route states none.
 	defaultMaxPause = 300 * time.Millisecond
 
+	// stepCopy to stepContinue are the steps of a move in logs.
+	stepCopy     = "copy"
+	stepCheck    = "check"
+	stepStop     = "stop"
+	stepContinue = "continue"
+
 	// NoRun means that the engine runs no such request.
 	NoRun MoveFailure = "no_run"
 	// CopyInProgress means that the engine is already copying the request's memory.
@@ -148,6 +154,8 @@
 		// copyTime is how long the copies took while the stream continued, and stoppedAt when the run was asked to stop.
 		copyTime  time.Duration
 		stoppedAt time.Time
+		// answeredAt is when the answer to that arrived, or did not.
+		answeredAt time.Time
 	}
 )
 
@@ -206,6 +214,11 @@
 	defer s.mu.Unlock()
 	s.received++
 	s.progress.Received(at, writing)
+	if h := s.handover; h != nil && !h.confirmed && at.Sub(h.answeredAt) > streamEndTimeout {
+		// The run was not stopped.
+		s.handover = nil
+		s.generation.gateway.freeHandover(h)
+	}
 }
 
 // finish ends the watch. If the run is being stopped and the stream is to continue, it waits for the outcome and returns where
@@ -316,7 +329,7 @@
 		case Copied:
 			h.cache = r.Cache
 		case CopyFailed:
-			s.giveUp(h, "copy", r)
+			s.giveUp(h, stepCopy, r)
 			return
 		}
 		took = time.Since(copyBegan)
@@ -324,7 +337,7 @@
 	h.copyTime = time.Since(began)
 	n.poolState.planner.Copied(h.copyTime, s.isRemote(destination))
 	if !s.beginStop(h) {
-		s.giveUp(h, "check", CopyFailed{Reason: NotWorthwhile})
+		s.giveUp(h, stepCheck, CopyFailed{Reason: NotWorthwhile})
 		return
 	}
 	s.stop(h)
@@ -370,6 +383,7 @@
 // stop stops the run, copies the rest of its memory, and hands the stream over to the generation.
 func (s *streamMove) stop(h *handover) {
 	r := s.copy(h.destination, true)
+	h.answeredAt = time.Now()
 	switch r := r.(type) {
 	case Copied:
 		h.isCopied, h.confirmed = true, true
@@ -379,11 +393,11 @@
 		h.confirmed = r.Cache != ""
 		h.setCache(r.Cache)
 		if r.Reason == NoRun || r.Reason == CopyInProgress {
-			s.giveUp(h, "stop", r)
+			s.giveUp(h, stepStop, r)
 			close(s.stopping)
 			return
 		}
-		s.logFailed(h, "stop", r)
+		s.logFailed(h, stepStop, r)
 		if h.confirmed {
 			time.AfterFunc(streamEndTimeout, s.cancelDecode)
 		}
@@ -410,7 +424,7 @@
 	n.gateway.freeHandover(h)
 	s.logFailed(h, step, r)
 	n.gateway.moves.observe(n.pool.Name, MoveGivenUp)
-	if step != "copy" {
+	if step != stepCopy {
 		return
 	}
 	if r.Reason != CopyUnknown {
@@ -432,15 +446,25 @@
 	if r.Err != nil {
 		fields = append(fields, "error", r.Err.Error())
 	}
-	n.gateway.log.Warn(event.StreamMoveFailed, fields...)
+	if step == stepStop {
+		n.gateway.log.Warn(event.StreamMoveFailed, fields...)
+		return
+	}
+	n.gateway.log.Info(event.StreamMoveFailed, fields...)
 }
 
 // freeHandover frees the memory of a handover that is not used. The source frees the copy as well, unless it is gone.
 func (g *Gateway) freeHandover(h *handover) {
 	h.endLoad()
-	if h.cache != "" {
-		g.upstreams.FreeCache(h.source, h.cache)
-		g.upstreams.FreeCache(h.destination, h.cache)
+	g.freeMoved(h.source, h.cache)
+	g.freeMoved(h.destination, h.cache)
+}
+
+// freeMoved frees the memory of a moved stream at an engine. An engine that has asked for a pause or states a limit is not called:
+// the memory expires there within about a second.
+func (g *Gateway) freeMoved(m *upstream.Member, cache string) {
+	if cache != "" && m.Backoff(time.Now()) == 0 && !g.moves.isLimited(m.Incarnation()) {
+		g.upstreams.FreeCache(m, cache)
 	}
 }
 
@@ -503,9 +527,11 @@
 	}
 	n.poolState.memoryQueue.Freed(m.ID)
 	if !hasContinued {
-		n.recordMove(h, m, MoveBroken)
 		n.gateway.freeHandover(h)
 	}
+	if !hasContinued && ctx.Err() == nil {
+		n.recordMove(h, m, MoveBroken)
+	}
 	h.endLoad()
 	return outcome, true
 }
@@ -526,7 +552,7 @@
 // recordContinued records that a stopped stream continued at an engine at a time.
 func (n *generation) recordContinued(h *handover, m *upstream.Member, at time.Time) {
 	if m == h.source {
-		n.gateway.upstreams.FreeCache(h.destination, h.cache)
+		n.gateway.freeMoved(h.destination, h.cache)
 		n.recordMove(h, m, MoveReturned)
 		return
 	}
@@ -546,7 +572,7 @@
 		n.gateway.log.Info(event.StreamMoved, fields...)
 		return
 	}
-	fields = append(fields, "step", "continue", "reason", string(o), "at", m.ID)
+	fields = append(fields, "step", stepContinue, "reason", string(o), "at", m.ID)
 	n.gateway.log.Warn(event.StreamMoveFailed, fields...)
 }
 
--- a/router/gateway/move_test.go
+++ b/router/gateway/move_test.go
@@ -51,6 +51,8 @@
 		// complete, before its answer.
 		copyFault func(stop bool) gateway.CopyResult
 		copied    func(stop bool)
+		// lingers reports whether engines write streams on after their runs were stopped.
+		lingers bool
 		// decodes are the engines that ran a request, in order, and remaining the times that they were told.
 		decodes   []string
 		remaining []time.Duration
@@ -85,9 +87,10 @@
 		source, destination string
 		run                 *engineRun
 		hold                string
-		// lost reports whether the destination has terminated.
-		used, freed, lost bool
-		expiry            *time.Timer
+		// used reports whether the handle was used, and continued whether the destination used it. lost reports whether the
+		// destination has terminated.
+		used, continued, freed, lost bool
+		expiry                       *time.Timer
 	}
 )
 
@@ -125,6 +128,7 @@
 		c.used = true
 		if m.ID == c.destination {
 			f.moved++
+			c.continued = true
 			run.hold = c.hold
 			f.engines[c.source].free(c.run.hold)
 		} else {
@@ -230,8 +234,10 @@
 	c.expiry.Stop()
 	if stop {
 		f.stops++
-		run.close(io.ErrUnexpectedEOF)
 		run.stopped = true
+		if !f.lingers {
+			run.close(io.ErrUnexpectedEOF)
+		}
 	}
 	f.mu.Unlock()
 	if source.DataCentre != destination.DataCentre {
@@ -275,7 +281,7 @@
 	}
 	c.freed = true
 	f.freed++
-	if !c.used || f.runs[c.destination+"/"+c.id] == nil {
+	if !c.continued {
 		f.engines[c.destination].free(c.hold)
 	}
 	if !c.used && c.run.stopped {
@@ -286,7 +292,7 @@
 func (f *moveFleet) expire(c *engineCopy) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !c.used && !c.freed && !c.lost {
+	if !c.continued && !c.freed && !c.lost {
 		f.expired++
 		f.free(c)
 	}
@@ -494,7 +500,7 @@
 	moved     gateway.MoveOutcome
 	decodes   string
 	lastEvent func(int) bool
-	// freed and expired are the copies that are freed, or left to expire because no answer named them.
+	// freed and expired are the copies that are freed, or left to expire because no answer named them or their engine takes no calls.
 	freed, expired int
 	// suspected reports whether the content is suspected of a crash; nil if that does not matter.
 	suspected *bool
@@ -541,6 +547,10 @@
 		"moved": {
 			outcome: "answered", moved: gateway.MoveCompleted, decodes: "decode01 decode00", lastEvent: endsComplete,
 		},
+		"moved, the source writes on": {
+			prepare: func(s *moveScene) { s.lingers = true },
+			outcome: "answered", moved: gateway.MoveCompleted, decodes: "decode01 decode00", lastEvent: endsComplete,
+		},
 		"the destination is full": {
 			prepare: func(s *moveScene) {
 				s.copyFault = func(bool) gateway.CopyResult { return gateway.CopyFailed{Reason: gateway.NoRoom} }
@@ -565,7 +575,7 @@
 		},
 		"the destination states a limit after the last copy": {
 			prepare: onCopy(true, func(s *moveScene) { s.limited[fastEngine] = true }),
-			outcome: "deadline/yes", moved: gateway.MoveReturned, decodes: "decode01 decode01", lastEvent: endsAtDeadline, freed: 1,
+			outcome: "deadline/yes", moved: gateway.MoveReturned, decodes: "decode01 decode01", lastEvent: endsAtDeadline, expired: 1,
 		},
 		"the source crashes during the copy": {
 			prepare: onCopy(false, func(s *moveScene) { s.crash(slowEngine) }),
@@ -605,6 +615,17 @@
 			},
 			outcome: "deadline/yes", moved: gateway.MoveReturned, decodes: "decode01 decode01", lastEvent: endsAtDeadline, freed: 1,
 		},
+		"the call for the last copy is lost": {
+			prepare: func(s *moveScene) {
+				s.copyFault = func(stop bool) gateway.CopyResult {
+					if stop {
+						return gateway.CopyFailed{Reason: gateway.CopyUnknown, Err: io.ErrUnexpectedEOF}
+					}
+					return nil
+				}
+			},
+			outcome: "deadline/yes", decodes: "decode01", lastEvent: endsAtDeadline, freed: 1,
+		},
 		"the caller disconnects during the copy": {
 			prepare: onCopy(false, func(s *moveScene) { s.cancel() }),
 			outcome: "cancelled/yes", decodes: "decode01", lastEvent: endsEarly, freed: 1,
