Gateway: a draining source may continue a stopped stream

Cause: the list of published engines leaves out draining ones. Change: a further try at the source needs only that it is listed. Result: TestFailedMovesOfStreams green.

--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -537,16 +537,14 @@
 }
 
 // pauseBeforeTry pauses before a further try to continue a stream at its source. It returns false if the engine asks for a pause or
-// does not answer any more.
+// is no longer published.
 func (n *generation) pauseBeforeTry(ctx context.Context, source *upstream.Member) bool {
 	select {
 	case <-ctx.Done():
 		return false
 	case <-time.After(unconfirmedPause):
 	}
-	now := time.Now()
-	published := n.gateway.directory.Published(n.pool.Name, upstream.PhaseDecode)
-	return source.Backoff(now) == 0 && slices.ContainsFunc(published, func(m *upstream.Member) bool { return m.History == source.History })
+	return source.Backoff(time.Now()) == 0 && n.gateway.directory.Contains(source.ID)
 }
 
 // recordContinued records that a stopped stream continued at an engine at a time.
