--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/memory"
+	"gooseberrypin.example/router/migration"
 	"gooseberrypin.example/router/pace"
 	"gooseberrypin.example/router/quota"
 	"gooseberrypin.example/router/refusal"
@@ -72,6 +73,8 @@
 		speeds *speed.Table
 		// pace limits the work in flight at upstreams; nil if it is not limited.
 		pace *pace.Limiter
+		// moves moves running streams between engines; its mover is nil if they do not move.
+		moves streamMoves
 		// contention reports whether generations compete for memory by their standing.
 		contention bool
 		// shares holds the fair shares of customers; nil if their loads are not known.
@@ -109,6 +112,7 @@
 	poolState struct {
 		retryBudget *retry.Budget
 		memoryQueue *reservation.Queue
+		planner     *migration.Planner
 		estimates   *estimates
 		// refused holds the refused generations that their callers may send again.
 		refused refusedRequests
@@ -286,7 +290,7 @@
 
 // newPoolState returns the state of a pool without requests. The caller holds the lock.
 func (g *Gateway) newPoolState(p ingress.Pool, random *rand.Rand) *poolState {
-	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates()}
+	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates(), planner: migration.NewPlanner()}
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
--- a/router/reservation/peek.go
+++ b/router/reservation/peek.go
@@ -108,7 +108,8 @@
 	members := q.members()
 	weights := make(map[string]float64, len(members))
 	if speeds.Uneven() {
-		for _, m := range q.mostSuitable(t, members, speeds, now) {
+		suitable, _ := q.mostSuitable(t, members, speeds, now)
+		for _, m := range suitable {
 			weights[m.ID] = speedWeight(m, speeds)
 		}
 	} else {
