Reservations: learn how far outputs exceed their stated lengths

Cause: a reservation of 1.3 times the stated length and 100 tokens is exceeded by a quarter of the outputs. Change: router/length learns mean and deviation of the lengths of complete outputs; reservation.exceeded_share sets the share of outputs that may exceed what is reserved.

--- a/router/gateway/gateway.go
+++ b/router/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"gooseberrypin.example/router/contention"
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/ingress"
+	"gooseberrypin.example/router/length"
 	"gooseberrypin.example/router/memory"
 	"gooseberrypin.example/router/migration"
 	"gooseberrypin.example/router/pace"
@@ -75,6 +76,9 @@
 		pace *pace.Limiter
 		// moves moves running streams between engines; its mover is nil if they do not move.
 		moves streamMoves
+		// exceededShare is the share of outputs that may exceed what is reserved for them; 0 if a fixed multiple of the stated
+		// length is reserved.
+		exceededShare float64
 		// contention reports whether generations compete for memory by their standing.
 		contention bool
 		// shares holds the fair shares of customers; nil if their loads are not known.
@@ -114,6 +118,7 @@
 		memoryQueue *reservation.Queue
 		planner     *migration.Planner
 		estimates   *estimates
+		lengths     *length.Estimator
 		// refused holds the refused generations that their callers may send again.
 		refused refusedRequests
 		order   poolOrder
@@ -290,7 +295,7 @@
 
 // newPoolState returns the state of a pool without requests. The caller holds the lock.
 func (g *Gateway) newPoolState(p ingress.Pool, random *rand.Rand) *poolState {
-	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates(), planner: migration.NewPlanner()}
+	s := &poolState{retryBudget: retry.NewBudget(g.retryRatio, retry.WithEmptyStart(), retry.WithBurst(g.retryBurst)), estimates: newEstimates(), lengths: length.NewEstimator(), planner: migration.NewPlanner()}
 	decodeEngines := func() []*upstream.Member {
 		return g.directory.Ready(p.Name, upstream.PhaseDecode, time.Now())
 	}
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -137,7 +137,7 @@
 	if refused := n.gateway.refuseDuringShutdown(n.expectedDuration(), true); refused != nil {
 		return refused
 	}
-	n.record.Tokens = n.request.Generation.reservationTokens()
+	n.record.Tokens = n.reservationTokens()
 	if engine := n.pool.Engine; engine != nil && engine.KVTokens > 0 {
 		if n.request.Generation.PromptTokens > engine.KVTokens {
 			return refusal.New(refusal.RanNo, refusal.Overloaded, 0, "the prompt is longer than an engine's memory")
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -109,6 +109,7 @@
 	stopped := n.awaitMove(ctx, err)
 	switch {
 	case err == nil:
+		n.recordLength()
 		m.Succeeded(time.Since(began))
 		n.recordAnswered(t)
 		return done{}
