--- a/router/length/length_test.go
+++ b/router/length/length_test.go
@@ -23,6 +23,36 @@
 	// Output: 1000 1757
 }
 
+// Guards against reservations that outputs with a small stated length exceed more often than those with a large one: callers
+// estimate outputs of different lengths equally well, so that small estimates are more often too small.
+func TestQuantileFollowsTheStatedLength(t *testing.T) {
+	const (
+		exceededShare = 0.13
+		samples       = 4000
+		tolerance     = 0.04
+	)
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	e := length.NewEstimator()
+	exceeded, outputs := make(map[bool]int), make(map[bool]int)
+	for n := range 2 * samples {
+		output := draw(random, 800, 0, 0.7)
+		stated := draw(random, output, 0, 0.5)
+		if n >= samples {
+			outputs[stated < 800]++
+			if output > e.Quantile(stated, exceededShare) {
+				exceeded[stated < 800]++
+			}
+		}
+		e.Record(stated, output)
+	}
+	for small, of := range outputs {
+		share := float64(exceeded[small]) / float64(of)
+		t.Logf("small %v: %.3f exceeded", small, share)
+		is.True(share > exceededShare-tolerance && share < exceededShare+tolerance)
+	}
+}
+
 // Guards against reservations that outputs exceed more or less often than asked for, where callers estimate well, badly, or
 // always too low.
 func TestQuantileIsExceededAsOftenAsAsked(t *testing.T) {
