upstream: an earlier incarnation at a leaving server's address gets nothing

Cause: after a restore of the store from an older copy, entries kept incarnations that had ended published. The claim of the later start at their address ends after 8 s, and the next request to the earlier ID reached the server that runs there now, which had announced that it leaves. It answered 421 and did not run the request. Change: a directory knows the latest incarnation at each address, also after it has left, until its departure is forgotten (10 min). An earlier one there is not used once the latest has announced that it leaves.

--- a/router/upstream/claim.go
+++ b/router/upstream/claim.go
@@ -11,6 +11,15 @@
 	claimTime = 8 * time.Second
 )
 
+type (
+	// occupant is the latest incarnation at an address, by its start time.
+	occupant struct {
+		id      string
+		started time.Time
+		history *History
+	}
+)
+
 // claim records that a later start is published at the address, and reports whether this is new. It counts once for an
 // incarnation: one that has stayed published beyond claimTime is alive, and only an answer of another incarnation shows that
 // it was replaced.
@@ -45,6 +54,31 @@
 	return terminated
 }
 
+// occupy records which incarnation at a new member's address is the latest. An older copy of the source may publish an earlier
+// one without it, and a claim ends before an outage does. Incarnations without a start time are left out. The caller holds the lock.
+func (d *Directory) occupy(next *Member) {
+	if next.Started.IsZero() {
+		return
+	}
+	latest, found := d.occupants[next.Address]
+	if !found || !next.Started.Before(latest.started) {
+		latest = occupant{id: next.ID, started: next.Started, history: next.History}
+		d.occupants[next.Address] = latest
+	}
+	for _, id := range d.idsByAddress[next.Address] {
+		if m := d.members[id]; !m.Started.IsZero() && m.Started.Before(latest.started) {
+			m.setOccupant(latest.history)
+		}
+	}
+}
+
+// setOccupant sets the history of the latest incarnation at the address.
+func (h *History) setOccupant(latest *History) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.occupant = latest
+}
+
 // newlyTerminated returns the termination of the incarnation, or nothing if it counts as replaced already.
 func (m *Member) newlyTerminated(final bool) []Termination {
 	if m.isReplaced(time.Now()) {
--- a/router/upstream/departure.go
+++ b/router/upstream/departure.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -87,9 +89,15 @@
 
 // forgetDeparted removes the incarnations that left longer than departedRetention ago. The caller holds the lock.
 func (d *Directory) forgetDeparted(now time.Time) {
-	for id, left := range d.departed {
-		if now.Sub(left.at) > departedRetention && now.After(d.restoreEnd) {
-			delete(d.departed, id)
-		}
+	before := len(d.departed)
+	maps.DeleteFunc(d.departed, func(_ string, left departure) bool {
+		return now.Sub(left.at) > departedRetention && now.After(d.restoreEnd)
+	})
+	if len(d.departed) == before {
+		return
 	}
+	maps.DeleteFunc(d.occupants, func(address string, o occupant) bool {
+		_, departed := d.departed[o.id]
+		return !departed && !slices.Contains(d.idsByAddress[address], o.id)
+	})
 }
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -22,6 +22,8 @@
 		members map[string]*Member
 		// idsByAddress holds the IDs of the members that are published at an address.
 		idsByAddress map[string][]string
+		// occupants holds, by address, the latest incarnation that was published there, until its departure is forgotten.
+		occupants map[string]occupant
 		// membersByRole caches the members that are not draining, by pool and phase, ordered by ID. It is nil
 		// after a member has changed.
 		membersByRole map[role][]*Member
@@ -53,6 +55,7 @@
 	d := &Directory{
 		members:       make(map[string]*Member),
 		idsByAddress:  make(map[string][]string),
+		occupants:     make(map[string]occupant),
 		removalDue:    make(map[string]time.Time),
 		departed:      make(map[string]departure),
 		onTermination: func(Termination) {},
@@ -118,6 +121,7 @@
 		}
 		d.members[u.ID] = next
 		d.idsByAddress[u.Address] = append(d.idsByAddress[u.Address], u.ID)
+		d.occupy(next)
 		return true, terminated
 	case old.Upstream == u:
 		return false, nil
--- a/router/upstream/upstream.go
+++ b/router/upstream/upstream.go
@@ -83,6 +83,8 @@
 		// if there is none. Answers to requests that were sent before it was published are recorded here.
 		successor        *History
 		successorStarted time.Time
+		// occupant is the history of the latest incarnation at the address, if that is a later one than this; otherwise nil.
+		occupant *History
 	}
 
 	// Load is the load that this process has in flight at an upstream.
@@ -258,9 +260,17 @@
 	return h.leavingAt
 }
 
-// isLeaving reports whether the upstream has announced that it leaves.
+// isLeaving reports whether the upstream has announced that it leaves, or a later one at its address has, which would receive
+// the requests to this one.
 func (h *History) isLeaving() bool {
-	return !h.lastLeavingAt().IsZero()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hasLeaver()
+}
+
+// hasLeaver implements isLeaving. The caller holds the lock. A later history is locked after an earlier one.
+func (h *History) hasLeaver() bool {
+	return !h.leavingAt.IsZero() || h.occupant != nil && h.occupant.isLeaving()
 }
 
 func (h *History) eject(now time.Time) time.Duration {
@@ -291,5 +301,5 @@
 func (h *History) usable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.replaced && !now.Before(h.claimedUntil) && h.leavingAt.IsZero() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
+	return !h.replaced && !now.Before(h.claimedUntil) && !h.hasLeaver() && !now.Before(h.pausedUntil) && !now.Before(h.ejectedUntil) && !now.Before(h.backoffUntil)
 }
