reservation: entries with few streams spread them over all engines

Cause: in an uneven pool, an engine where a stream of this entry has ended within 4 s goes before engines of which nothing is known. An entry with one stream at a time then sends all of them to the engines that it used before, and a new engine gets nothing while none refuses memory. Change: the preference holds only within 10 s of a refusal of memory or of the start of the entry.

--- a/router/reservation/queue.go
+++ b/router/reservation/queue.go
@@ -88,6 +88,7 @@
 		entries         func() int
 		speeds          func() *speed.View
 		memoryTokens    int
+		started         time.Time
 
 		mu      sync.Mutex
 		waiting []*ticket
@@ -133,6 +134,7 @@
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		entries:         func() int { return 1 },
 		speeds:          func() *speed.View { return nil },
+		started:         time.Now(),
 		engines:         make(map[string]*engineMemory),
 	}
 	for _, opt := range opts {
--- a/router/reservation/speed.go
+++ b/router/reservation/speed.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// justFreed is the suitability of an engine where a stream of this entry has just ended.
+	// justFreed is the suitability of an engine where a stream of this entry has just ended. It is used only while memory is scarce:
+	// otherwise an entry with few streams would send all of them to the same engines.
 	justFreed suitability = iota
 	// unknown is that of an engine of which nothing speaks against an attempt.
 	unknown
@@ -24,6 +25,9 @@
 	// freedTime is how long an engine is preferred after a stream of this entry has ended there: about as long as a stream
 	// takes. Most likely no other entry has used all of that memory since.
 	freedTime = 4 * time.Second
+	// scarceTime is how long after a refusal, or after the start, memory counts as scarce: longer than the calm between two bursts. In a
+	// trial with 4 s, the engines of a busy pool refused 6 % more for each grant.
+	scarceTime = 10 * time.Second
 )
 
 type (
@@ -77,12 +81,17 @@
 		return tooSlow
 	case engine.fullTokens > 0 && t.Tokens >= engine.fullTokens && now.Before(engine.fullUntil):
 		return likelyFull
-	case now.Before(engine.freedUntil):
+	case now.Before(engine.freedUntil) && q.memoryIsScarce(now):
 		return justFreed
 	}
 	return unknown
 }
 
+// memoryIsScarce reports whether an engine refused memory lately, or may have done so before this entry started.
+func (q *Queue) memoryIsScarce(now time.Time) bool {
+	return now.Sub(q.started) < scarceTime || now.Sub(q.pacing.refused) < scarceTime
+}
+
 // runTime returns the expected time from a grant to the end of the stream at an engine.
 func (w *Waiter) runTime(perToken time.Duration) time.Duration {
 	return w.Startup + time.Duration(w.OutputTokens)*perToken
--- a/router/reservation/speed_test.go
+++ b/router/reservation/speed_test.go
@@ -154,3 +154,37 @@
 		is.Equal(granted["a"], 50)
 	})
 }
+
+// Guards against engines that get nothing while all have memory, a new one above all: an entry with one stream at a time prefers the
+// engines where its streams have ended, which are always the same ones.
+func TestStreamsSpreadWhileNoEngineRefusesMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines(map[string]int{"a": 90_000, "b": 90_000, "c": 90_000, "d": 90_000})
+		factors := []float64{2, 2, 1, 1}
+		table := speed.NewTable(speed.DefaultUnevenFactor)
+		speeds := func() *speed.View {
+			return table.View(func() []*upstream.Member { return e.members }, "chat", upstream.PhaseDecode, time.Now())
+		}
+		q := e.queue(reservation.WithSpeeds(speeds, engineTokens), reservation.WithRandom(rand.New(rand.NewPCG(1, 1))))
+		granted := make(map[string]int)
+		for n := range 160 {
+			for i, m := range e.members {
+				table.Record(m.Upstream, 100, time.Duration(100*factors[i]*float64(tokenTime)), time.Now())
+			}
+			grant, ok := q.Wait(t.Context(), output(200))
+			is.True(ok)
+			if n >= 80 {
+				is.True(speeds().Uneven())
+				granted[grant.Member.ID]++
+			}
+			time.Sleep(150 * time.Millisecond)
+			e.freeMemory(grant.Member.ID, 3000)
+			q.Freed(grant.Member.ID)
+		}
+		t.Logf("grants: %v", granted)
+		for _, m := range e.members {
+			is.True(granted[m.ID] >= 4)
+		}
+	})
+}
