--- a/router/reservation/peek.go
+++ b/router/reservation/peek.go
@@ -87,7 +87,7 @@
 	defer q.mu.Unlock()
 	d := &Queue{
 		members: q.members, recheckInterval: q.recheckInterval, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		entries: q.entries, speeds: func() *speed.View { return speeds }, memoryTokens: q.memoryTokens,
+		entries: q.entries, speeds: func() *speed.View { return speeds }, memoryTokens: q.memoryTokens, started: q.started,
 		engines: make(map[string]*engineMemory, len(q.engines)), waiting: make([]*ticket, 0, len(q.waiting)+1),
 		grants: q.grants, lastLateAttempt: q.lastLateAttempt, attemptInterval: q.attemptInterval, nextAttempt: q.nextAttempt, pacing: q.pacing,
 	}
--- a/router/upstream/condition.go
+++ b/router/upstream/condition.go
@@ -46,7 +46,7 @@
 		return Replaced, time.Time{}
 	case now.Before(h.claimedUntil):
 		return Replaced, h.claimedUntil
-	case !h.leavingAt.IsZero():
+	case h.hasLeaver():
 		return Leaving, time.Time{}
 	case now.Before(h.ejectedUntil) && !pausedUntil.After(h.ejectedUntil):
 		return Ejected, h.ejectedUntil
