Quota: entries hold more of an unused quota, and learn of it

Cause: an entry did not name a customer without load in its reports, so it kept the share of its first report, when the allocator had little (c0: 1,410 held, where 17,500 were an even part). One large request raised the demand of a small customer above its rate for a second, so that all entries gave back what they held. Each report for waiting requests came in addition to two a second. Change: a customer is left out of one report in a row at most. The even part of an unused quota is 0.6 (0.4 before) and follows the demand of the last four seconds; the part by demand is in proportion to the rate. A report for waiting requests replaces the next one. After one report without an answer the next one follows in 20 ms in place of 100. What the allocator counts, and so the bound, is unchanged.

--- a/router/quota/allocator.go
+++ b/router/quota/allocator.go
@@ -25,15 +25,15 @@
 	// grantIntervals, so that the entry uses its own part only after its grants were replaced.
 	reporterIntervals = 3
 	// evenPart and demandPart are the parts of the capacity that entries hold: all the same, and by their demand. centralPart
-	// is granted only to entries whose requests wait. evenPart shrinks as the total demand approaches the rate, so that entries
-	// with demand get it, down to minEvenPart.
-	evenPart    = 0.4
+	// is granted only to entries whose requests wait. evenPart shrinks as the usual demand approaches the rate, so that entries
+	// with demand get it, down to minEvenPart; demandPart is held completely from there on.
+	evenPart    = 0.6
 	minEvenPart = 0.1
 	demandPart  = 0.4
 	centralPart = 0.2
-	// fullDemandPart times the rate is the total demand from which demandPart is held completely. Below it, little demand
-	// would move large amounts.
-	fullDemandPart = 0.3
+	// usualTime is the time over which the demand is averaged that evenPart follows. One large request of a small customer
+	// exceeds its rate for a second; over a shorter time it would make all entries give back what they hold.
+	usualTime = 4 * time.Second
 	// refreshInterval is how often the reporting entries are counted.
 	refreshInterval = 50 * time.Millisecond
 	// joinGrace is how long after its start an allocator divides by the assumed number of entries: it has not met all yet.
@@ -88,6 +88,8 @@
 		free bucket
 		// held, demand and granted are the sums over the reporters.
 		held, demand, granted float64
+		// usual is the demand averaged over usualTime.
+		usual float64
 	}
 
 	// reporter is an entry that reports to the allocator.
@@ -189,6 +191,11 @@
 	return others[:min(len(others), maxOthers)]
 }
 
+// Limits returns the quotas of the configuration in force.
+func (a *Allocator) Limits() CustomerLimits {
+	return a.limits()
+}
+
 // Loads returns the load of each customer at the entries that report here.
 func (a *Allocator) Loads() []CustomerLoad {
 	a.mu.Lock()
@@ -219,8 +226,8 @@
 		return share
 	}
 	capacity, perSecond := covered*c.division.capacity, covered*c.division.perSecond
-	demandShare := use.Demand / max(c.demand, fullDemandPart*c.division.perSecond)
-	even := max(minEvenPart, evenPart*(1-c.demand/c.division.perSecond))
+	demandShare := use.Demand / max(c.demand, c.division.perSecond)
+	even := max(minEvenPart, evenPart*(1-c.usual/c.division.perSecond))
 	// Shortly after a start little has accumulated, of which most must stay free for entries whose requests wait.
 	share.Target = even*max(0, share.Available)/float64(a.entries) + demandPart*capacity*demandShare
 	share.Debt = c.division.debt / float64(a.entries)
@@ -246,6 +253,9 @@
 
 // fill adds what accumulated since the last call, for a part of the customer's rate and capacity.
 func (c *pool) fill(covered float64, now time.Time) {
+	if elapsed := now.Sub(c.free.updated); !c.free.updated.IsZero() && elapsed > 0 {
+		c.usual += (1 - math.Exp(-elapsed.Seconds()/usualTime.Seconds())) * (c.demand - c.usual)
+	}
 	c.free.refill(covered*c.division.perSecond, covered*c.division.capacity-c.held, now)
 	c.free.level = min(c.free.level, covered*c.division.capacity-c.held)
 }
--- a/router/quota/customer_fleet_test.go
+++ b/router/quota/customer_fleet_test.go
@@ -45,11 +45,13 @@
 		waited   time.Duration
 	}
 
-	// calmOutcome is what requests and entries did in calm conditions. perEntry is the number of reports a second of an entry.
+	// calmOutcome is what requests and entries did in calm conditions. perEntry is the number of reports a second of an entry, and
+	// beyond the number of requests larger than an even part of the bound of a window: if each entry granted one without
+	// asking, they would exceed the bound.
 	calmOutcome struct {
-		requests, waited, refused int
-		longest                   time.Duration
-		perEntry                  float64
+		requests, waited, refused, beyond int
+		longest                           time.Duration
+		perEntry                          float64
 	}
 
 	// customerCase is a load of one customer on a fleet.
@@ -85,6 +87,10 @@
 		return quota.CustomerAnswer{}, err
 	}
 	e.fleet.mu.Lock()
+	if e.fleet.refuses != nil && e.fleet.refuses(e, to) {
+		e.fleet.mu.Unlock()
+		return quota.CustomerAnswer{}, errUnreachable
+	}
 	to.answered++
 	allocator := to.allocator
 	e.fleet.mu.Unlock()
--- a/router/quota/customer_test.go
+++ b/router/quota/customer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,6 +138,30 @@
 	is.True(c.perEntry <= targetCalls)
 }
 
+// Guards against entries that keep the small share of their first report, which the allocator answered when little had
+// accumulated: without requests they did not report again, and the first larger request waited.
+func TestUnusedCustomerFillsUpAtAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCustomerFleet(22, platformBounds, largeCustomer)
+		defer f.stopAll()
+		time.Sleep(20 * time.Second)
+		for _, e := range f.entries {
+			if held := e.customers.States()[0].Held; held < 0.6*largeCustomer.Burst/22 {
+				t.Errorf("entry %d holds %.0f of a burst of %.0f", e.index, held, largeCustomer.Burst)
+			}
+		}
+	})
+}
+
+// Guards against reports beyond the target of two a second, as each one for waiting requests came in addition, and against the
+// requests that waited as their entry held the share of its first report.
+func TestCalmFleetReportsTwiceASecond(t *testing.T) {
+	is := is.New(t)
+	c := playManyCustomers(t)
+	is.True(c.perEntry <= targetCalls)
+	is.True(c.waited < c.requests/6)
+}
+
 // playManyCustomers plays a calm load of 16 customers at 22 entries. It checks the loads that an entry knows.
 func playManyCustomers(t *testing.T) calmOutcome {
 	c := calmOutcome{}
@@ -188,6 +213,9 @@
 				c.refused++
 			}
 			c.longest = max(c.longest, g.waited)
+			if l := limits[slices.IndexFunc(limits, func(l quota.CustomerLimit) bool { return l.Name == g.customer })]; l.PerSecond > 0 && g.amount > platformBounds.Allowed(l)/22 {
+				c.beyond++
+			}
 		}
 		for _, e := range f.entries {
 			reports += e.reports
--- a/router/quota/customers.go
+++ b/router/quota/customers.go
@@ -74,6 +74,8 @@
 		demand, granted float64
 		// reported is whether the allocator has a demand of this customer.
 		reported bool
+		// skipped is the number of reports since the last one that named the customer.
+		skipped int
 	}
 )
 
@@ -318,6 +320,11 @@
 	return seconds(min(maxRetryAfter.Seconds(), amount/max(perSecond, minPerSecond)))
 }
 
+// idle reports whether there is no demand that the allocator does not know of.
+func (s *customerState) idle() bool {
+	return s.demand == 0 && !s.reported && s.want == 0
+}
+
 // average updates the averages of the demand and of what was granted, after a time.
 func (s *customerState) average(elapsed time.Duration) {
 	if elapsed <= 0 {
--- a/router/quota/fleet_test.go
+++ b/router/quota/fleet_test.go
@@ -47,6 +47,8 @@
 		quotas quota.CustomerLimits
 		bounds quota.CustomerBounds
 		grants []customerGrant
+		// refuses is whether an entry does not understand the reports of another one; nil if all do.
+		refuses func(from, to *entry) bool
 	}
 
 	entry struct {
--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,6 +27,9 @@
 	// shortGaps is the number of early gaps for which a short answer counts: entries of a customer beyond its quota ask
 	// less often than those that can be granted more.
 	shortGaps = 2
+	// maxSkipped is the number of reports in a row that don't name an unused customer. With more, its share would be out of
+	// date: what an entry should hold rises while the quota is not used.
+	maxSkipped = 1
 )
 
 var (
@@ -41,6 +45,8 @@
 		process int64
 		number  int64
 		applied int64
+		// next is when the next report without waiting requests is due.
+		next time.Time
 		// early is when the last report for waiting requests was sent, and answered when the last one that got an answer was.
 		early, answered    time.Time
 		interval, earlyGap time.Duration
@@ -111,7 +117,18 @@
 		return c.fail(owner, err, early)
 	}
 	c.apply(owner, sent, r.Number, answer)
-	return c.link.interval
+	return c.link.pause(early, time.Now())
+}
+
+// pause returns the time until the next report without waiting requests. One for waiting requests replaces it, so that an entry
+// sends no more reports than one an interval on average; the pause stays well below reporterIntervals.
+func (l *allocatorLink) pause(early bool, now time.Time) time.Duration {
+	pause := l.interval
+	if early {
+		pause = min(l.next.Add(l.interval).Sub(now), l.interval*3/2)
+	}
+	l.next = now.Add(max(l.interval, pause))
+	return l.next.Sub(now)
 }
 
 // owner returns the address of the entry to report to, or the empty string. It is the next owner while the first one does
@@ -181,16 +198,18 @@
 		s.average(elapsed)
 		r.Early = r.Early || s.want > 0
 		missing := s.share.Target - s.held
-		if !all && s.known && s.demand == 0 && !s.reported && s.want == 0 && missing <= targetTolerance*s.share.Target && -missing <= targetTolerance*s.share.Target {
+		if !all && s.known && s.idle() && s.skipped < maxSkipped && math.Abs(missing) <= targetTolerance*s.share.Target {
+			s.skipped++
 			continue
 		}
 		use := CustomerUse{Name: name, Want: s.want, Demand: s.demand, Granted: s.granted}
 		if s.known && !all {
-			use.Returned = max(0, -missing)
+			// Whole amounts take fewer bytes on their way.
+			use.Returned = max(0, math.Floor(-missing))
 			s.held -= use.Returned
 		}
 		use.Held = s.held
-		s.reported = s.demand > 0
+		s.reported, s.skipped = s.demand > 0, 0
 		r.Customers = append(r.Customers, use)
 	}
 	if r.Early {
@@ -250,6 +269,10 @@
 	if early {
 		c.notify()
 	}
+	if l.failures < maxFailures {
+		// One lost message is no reason to wait longer: reportTimeout has passed already.
+		return minEarlyGap
+	}
 	return failurePause
 }
 
