Quota: reports and answers in a compact format

Cause: a report and its answer about 16 customers took 781 and 816 bytes with HTTP's heads, 65.5 KB a second at the allocator of 22 entries. Change: customers are named by five bytes of a hash, rates take two bytes and whole amounts three, fields that are 0 none (protowire of the protobuf module, xxhash). Three header lines that nobody reads are left out. A report in JSON is still answered in JSON; an entry that only knows JSON refuses a compact report, and its sender uses its own part.

--- a/router/adapter/member/customer.go
+++ b/router/adapter/member/customer.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,10 +34,16 @@
 	CustomerQuotaHandler struct {
 		allocator *quota.Allocator
 		log       event.Log
+
+		mu sync.Mutex
+		// names are the customers of a version of the configuration by their names in messages; those with the same one are
+		// empty.
+		version int64
+		names   map[customerName]string
 	}
 
-	// reportMessage is a quota.CustomerReport as JSON. Amounts are in lists without names, as the allocator of a fleet
-	// exchanges 62 reports a second.
+	// reportMessage is a quota.CustomerReport as JSON, as entries of earlier versions send it. Amounts are in lists without
+	// names.
 	reportMessage struct {
 		Entry     string `json:"entry"`
 		Process   int64  `json:"process"`
@@ -72,42 +80,85 @@
 }
 
 // ServeHTTP implements http.Handler. It answers 503 when the allocator has no configuration, and for a report that arrives
-// late.
+// late. A report in JSON is answered in JSON.
 func (h *CustomerQuotaHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var m reportMessage
-	err := json.NewDecoder(r.Body).Decode(&m)
-	if err != nil || m.Entry == "" {
-		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", m.Entry)
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxReportBytes))
+	var report quota.CustomerReport
+	compact := len(content) > 0 && content[0] == compactFormat
+	if err == nil {
+		report, err = h.decode(content, compact)
+	}
+	if err != nil {
+		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", report.Entry)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	answer, ok := h.allocator.Report(m.report())
+	answer, ok := h.allocator.Report(report)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	content, err := json.Marshal(newAnswerMessage(answer, m.Names))
-	if err != nil {
-		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", m.Entry)
+	names := make([]string, len(report.Customers))
+	for i, u := range report.Customers {
+		names[i] = u.Name
+	}
+	if compact {
+		content = encodeAnswer(answer, names)
+	} else if content, err = json.Marshal(newAnswerMessage(answer, names)); err != nil {
+		h.log.Error(err, event.CustomerReportInvalid, "from", r.RemoteAddr, "entry", report.Entry)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	// The client needs neither header, which take 70 bytes of each answer.
+	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
 	// An error means that the connection is closed. The allocator then frees the grants with the next report.
 	_, _ = w.Write(content)
 }
 
-// Report implements quota.CustomerPeers. It returns an error when the entry can't be reached, takes no report or its
-// response is invalid.
-func (c *Client) Report(ctx context.Context, address string, r quota.CustomerReport) (quota.CustomerAnswer, error) {
-	m := newReportMessage(r)
-	content, err := json.Marshal(m)
-	if err != nil {
-		return quota.CustomerAnswer{}, eris.Wrap(err, "encode the report")
+// decode returns the report of a message in either format.
+func (h *CustomerQuotaHandler) decode(content []byte, compact bool) (quota.CustomerReport, error) {
+	if compact {
+		names := h.customers()
+		return decodeReport(content, func(n customerName) string { return names[n] })
+	}
+	var m reportMessage
+	if err := json.Unmarshal(content, &m); err != nil {
+		return quota.CustomerReport{}, eris.Wrap(err, "decode the report")
+	}
+	if m.Entry == "" {
+		return quota.CustomerReport{}, errMessage
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fleet.URL(address)+CustomerQuotaPath, bytes.NewReader(content))
+	return m.report(), nil
+}
+
+// customers returns the customers of the configuration in force by their names in messages.
+func (h *CustomerQuotaHandler) customers() map[customerName]string {
+	limits := h.allocator.Limits()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if limits.Version == h.version {
+		return h.names
+	}
+	h.version, h.names = limits.Version, make(map[customerName]string, len(limits.Limits))
+	for _, l := range limits.Limits {
+		name := nameOfCustomer(l.Name)
+		if _, found := h.names[name]; found {
+			l.Name = ""
+		}
+		h.names[name] = l.Name
+	}
+	return h.names
+}
+
+// Report implements quota.CustomerPeers. It returns an error when the entry can't be reached, takes no report, does not
+// understand it, or its response is invalid.
+func (c *Client) Report(ctx context.Context, address string, r quota.CustomerReport) (quota.CustomerAnswer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fleet.URL(address)+CustomerQuotaPath, bytes.NewReader(encodeReport(r)))
 	if err != nil {
 		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
 	}
+	// The allocator does not need this header, which takes 32 bytes of each report.
+	request.Header.Set("User-Agent", "")
 	response, err := c.client.Do(request)
 	if err != nil {
 		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
@@ -117,11 +168,16 @@
 	if response.StatusCode != http.StatusOK {
 		return quota.CustomerAnswer{}, eris.Wrapf(errNotTaken, "entry %s, status %d", address, response.StatusCode)
 	}
-	var answer answerMessage
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
 		return quota.CustomerAnswer{}, eris.Wrapf(err, "entry %s", address)
 	}
-	return answer.answer(m.Names), nil
+	names := make([]string, len(r.Customers))
+	for i, u := range r.Customers {
+		names[i] = u.Name
+	}
+	answer, err := decodeAnswer(content, names)
+	return answer, eris.Wrapf(err, "entry %s", address)
 }
 
 func newReportMessage(r quota.CustomerReport) reportMessage {
