--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -19,8 +19,8 @@
 	// grantIntervals is the number of report intervals without an answer after which an entry uses its own part.
 	grantIntervals = 4
 	// maxFailures is the number of reports in a row without an answer after which an entry reports to the next owner, for
-	// avoidTime.
-	maxFailures = 2
+	// avoidTime. With two, where one message in ten is lost, entries leave an allocator that works.
+	maxFailures = 3
 	avoidTime   = 3 * time.Second
 	// failurePause is the time between two reports while the allocator does not answer.
 	failurePause = 100 * time.Millisecond
