--- a/router/adapter/member/customer_message.go
+++ b/router/adapter/member/customer_message.go
@@ -32,24 +32,20 @@
 	quantitySign   = 1 << 15
 	// maxExact is the magnitude below which whole amounts are sent as integers.
 	maxExact = 1 << 50
-)
 
-// The fields of a customer that follow its flags.
-const (
-	hasReturned = 1 << iota
-	hasWant
-	hasDemand
-	hasGranted
-	hasHeld
-)
-
-const (
-	isKnown = 1 << iota
-	isShort
-	hasLimit
-	hasGrant
-	hasLoad
-	hasOtherGranted
+	// The flags of a customer in a report say which fields follow.
+	hasReturned = 1
+	hasWant     = 2
+	hasDemand   = 4
+	hasGranted  = 8
+	hasHeld     = 16
+	// The flags of a share also say whether the allocator knows the customer, and whether its quota is short.
+	isKnown         = 1
+	isShort         = 2
+	hasLimit        = 4
+	hasGrant        = 8
+	hasLoad         = 16
+	hasOtherGranted = 32
 )
 
 var (
