--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -23,9 +23,6 @@
 	// maxSuspects bounds the suspects that are kept: two names for each request that ran at one of thirty
 	// busy engines when these crashed.
 	maxSuspects = 4096
-	// suspectReportTime is the longest time until other entries know what ran at a crashed upstream: an entry sends its next
-	// urgent update up to 1.6 s after the last one, and the exchange takes some milliseconds.
-	suspectReportTime = 1700 * time.Millisecond
 	// maxPartName bounds the name of a part in bytes. A longer one ends with a digest.
 	maxPartName = 64
 	// maxLoggedContents bounds the contents and the parts in a log line.
@@ -53,13 +50,11 @@
 		mu sync.Mutex
 		// probing holds the IDs of the upstreams with a probe that is scheduled or in progress.
 		probing map[string]bool
-		// deciding is whether scheduleDecision has a decision pending.
-		deciding bool
 	}
 )
 
 func newCrashDetector(log event.Log, notify func()) *crashDetector {
-	table := quarantine.NewTable(quarantine.WithClearQuarantined(), quarantine.WithCapacity(maxSuspects), quarantine.WithReportTime(suspectReportTime))
+	table := quarantine.NewTable(quarantine.WithClearQuarantined(), quarantine.WithCapacity(maxSuspects))
 	return &crashDetector{table: table, tracker: quarantine.NewTracker(table), log: log, notify: notify, probing: make(map[string]bool)}
 }
 
@@ -247,33 +242,13 @@
 // logQuarantined logs the contents that became quarantined since its last call, and reports whether there are
 // any. from is the address of the entry that reported the last crash; it is empty if this entry found it.
 func (d *crashDetector) logQuarantined(from string) bool {
-	now := time.Now()
-	quarantined := d.table.TakeNewlyQuarantined(now)
+	quarantined := d.table.TakeNewlyQuarantined()
 	for _, c := range quarantined {
 		d.log.Info(event.ContentBlocked, "content", c, "from", from)
 	}
-	if next := d.table.NextDecision(now); !next.IsZero() {
-		d.scheduleDecision(next.Sub(now))
-	}
 	return len(quarantined) > 0
 }
 
-// scheduleDecision logs the contents that become quarantined after a pause without further evidence.
-func (d *crashDetector) scheduleDecision(pause time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.deciding {
-		return
-	}
-	d.deciding = true
-	time.AfterFunc(pause, func() {
-		d.mu.Lock()
-		d.deciding = false
-		d.mu.Unlock()
-		d.logQuarantined("")
-	})
-}
-
 // Suspects returns the contents that are suspected of crashing upstreams, the most urgent first. Their number
 // is bounded.
 func (g *Gateway) Suspects(now time.Time) []quarantine.Suspect {
--- a/router/quarantine/attribution.go
+++ b/router/quarantine/attribution.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 )
 
 const (
@@ -20,10 +19,6 @@
 		beginning bool
 		// explained is whether a content ran there that is quarantined and was never answered.
 		explained bool
-		// recordedAt is when the crash was recorded first, for whichever content. incomplete is whether other processes may
-		// still report what ran there.
-		recordedAt time.Time
-		incomplete bool
 		// weight is the largest weight among the contents that are compared. totalWeight is the largest weight of all
 		// crashes of a content that is no answered part.
 		weight, totalWeight int
@@ -61,14 +56,12 @@
 //   - all requests, also those whose answers were under way, with one crash more;
 //   - parts of prompts that were answered before, where nothing else has two crashes.
 //
-// For parts it leaves out the crashes of which reports may be missing, see WithReportTime.
-//
 // The caller holds the lock.
-func (t *Table) attribute(now time.Time) {
-	if t.attributed && (t.decideAt.IsZero() || now.Before(t.decideAt)) {
+func (t *Table) attribute() {
+	if t.attributed {
 		return
 	}
-	t.attributed, t.decideAt = true, time.Time{}
+	t.attributed = true
 	var candidates, answeredParts []*entry
 	suffices := false
 	for _, e := range t.entries {
@@ -88,7 +81,6 @@
 		return
 	}
 	crashes := t.collectEvidence()
-	t.markIncomplete(crashes, now)
 	for _, e := range candidates {
 		for _, crash := range e.crashes {
 			if c := crashes[crash.name]; crash.state != cleared {
@@ -125,35 +117,15 @@
 			}
 			c, found := crashes[crash.name]
 			if !found {
-				c = &crashEvidence{recordedAt: crash.recordedAt}
+				c = &crashEvidence{}
 				crashes[crash.name] = c
 			}
-			if crash.recordedAt.Before(c.recordedAt) {
-				c.recordedAt = crash.recordedAt
-			}
 			c.beginning = c.beginning || !crash.begun
 		}
 	}
 	return crashes
 }
 
-// markIncomplete marks the crashes of which reports may be missing, and sets decideAt to when the first of them is complete.
-func (t *Table) markIncomplete(crashes evidence, now time.Time) {
-	if t.answers >= commonPartAnswers {
-		return
-	}
-	for _, c := range crashes {
-		completeAt := c.recordedAt.Add(t.reportTime)
-		if !now.Before(completeAt) {
-			continue
-		}
-		c.incomplete = true
-		if t.decideAt.IsZero() || completeAt.Before(t.decideAt) {
-			t.decideAt = completeAt
-		}
-	}
-}
-
 // decide quarantines those of the entries to which enough of the selected crashes are attributed, and returns them. They
 // need the given weight beyond the required one.
 func (ev evidence) decide(entries []*entry, beyond int, suspects suspicion) []attributed {
@@ -199,13 +171,13 @@
 	return decided
 }
 
-// each calls do with each selected crash of an entry that is not cleared, and for a part is reported completely.
+// each calls do with each selected crash of an entry that is not cleared.
 func (ev evidence) each(e *entry, suspects suspicion, do func(crash crashRecord, c *crashEvidence)) {
 	for _, crash := range e.crashes {
 		if crash.state == cleared {
 			continue
 		}
-		if c := ev[crash.name]; suspects(crash, c) && (!e.part || !c.incomplete) {
+		if c := ev[crash.name]; suspects(crash, c) {
 			do(crash, c)
 		}
 	}
--- a/router/quarantine/quarantine.go
+++ b/router/quarantine/quarantine.go
@@ -15,9 +15,6 @@
 	defaultCapacity = 1024
 	// evictionFactor is how many times its capacity a table may hold while it records a crash.
 	evictionFactor = 2
-	// commonPartAnswers is the number of complete answers after which a table knows the common parts: one that a quarter of
-	// the requests have is missed once in a thousand times.
-	commonPartAnswers = 24
 )
 
 type (
@@ -74,19 +71,13 @@
 		term              time.Duration
 		capacity          int
 		clearsQuarantined bool
-		// reportTime is how long after the first report of a crash other processes may still report what ran there.
-		reportTime time.Duration
-		// answers counts the complete answers to requests with parts, up to commonPartAnswers.
-		answers int
-		entries map[string]*entry
+		entries           map[string]*entry
 		// answeredParts are the parts of requests with complete answers, and common those of them that other processes are
 		// told.
 		answeredParts recentSet
 		common        commonSet
-		// attributed is whether the entries have not changed since the last call of attribute. decideAt is when its decisions
-		// may change without that, as a crash is reported completely then; zero if there is none.
+		// attributed is whether the entries have not changed since the last call of attribute.
 		attributed bool
-		decideAt   time.Time
 		// newlyQuarantined are the labels of the contents that became quarantined since the last call of
 		// TakeNewlyQuarantined.
 		newlyQuarantined []string
@@ -121,13 +112,6 @@
 	return func(t *Table) { t.clearsQuarantined = true }
 }
 
-// WithReportTime sets the time within which other processes report what ran at an upstream that crashed. As long as the
-// table does not know the common parts, a crash counts for parts only after this time: until then, the report that the part at
-// fault ran there as well may be missing, and a common part would be blocked in its place. By default the time is 0.
-func WithReportTime(reportTime time.Duration) Option {
-	return func(t *Table) { t.reportTime = reportTime }
-}
-
 func (Free) verdict()        {}
 func (Suspected) verdict()   {}
 func (Quarantined) verdict() {}
@@ -223,23 +207,15 @@
 
 // TakeNewlyQuarantined returns the contents that became quarantined since the last call. Parts that can't be told apart are
 // one content, with their names joined.
-func (t *Table) TakeNewlyQuarantined(now time.Time) []string {
+func (t *Table) TakeNewlyQuarantined() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.attribute(now)
+	t.attribute()
 	fingerprints := t.newlyQuarantined
 	t.newlyQuarantined = nil
 	return fingerprints
 }
 
-// NextDecision returns when contents may become quarantined without further evidence, or the zero time.
-func (t *Table) NextDecision(now time.Time) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.attribute(now)
-	return t.decideAt
-}
-
 // Check returns whether content is free, suspected or quarantined.
 func (t *Table) Check(fingerprint string, now time.Time) Verdict {
 	t.mu.Lock()
@@ -300,7 +276,7 @@
 }
 
 func (t *Table) check(fingerprint string, now time.Time) Verdict {
-	t.attribute(now)
+	t.attribute()
 	e := t.entries[fingerprint]
 	switch {
 	case e == nil || e.weight == 0 || now.After(e.expires):
@@ -316,12 +292,7 @@
 func (t *Table) Clear(contents []Content, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.attribute(now)
-	if t.answers < commonPartAnswers && slices.ContainsFunc(contents, func(c Content) bool { return c.Part }) {
-		if t.answers++; t.answers == commonPartAnswers {
-			t.attributed = false
-		}
-	}
+	t.attribute()
 	if len(contents) > 0 {
 		if drawn := contents[rand.IntN(len(contents))]; drawn.Part {
 			t.common.add(drawn.Name)
