--- a/router/exchange/abandon_test.go
+++ b/router/exchange/abandon_test.go
@@ -98,7 +98,7 @@
 }
 
 // Guards against the late delivery of an abandoned request: the kernel holds its bytes, as the peer's receive window is
-// closed, and would send them once the peer reads, long after the caller was told that there is no answer.
+// closed, and would send them once the peer reads, long after the caller has received an error.
 func TestAbandonedRequestIsNotDeliveredLater(t *testing.T) {
 	const partialResponse = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"
 	tests := map[string]struct {
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -218,7 +218,7 @@
 
 // ResetOnClose is the Control function of a net.Dialer whose connections are reset when they are closed, also by the exit
 // of the process. After an orderly close the kernel would go on to deliver what is unacknowledged: a request then runs
-// after a partition, seconds after its caller was told that there is no answer. The option is set when the connection
+// after a partition, seconds after its caller has received an error. The option is set when the connection
 // is opened, as a killed process closes its connections without running any code.
 func ResetOnClose(_, _ string, c syscall.RawConn) error {
 	var failed error
--- a/router/gateway/contention_test.go
+++ b/router/gateway/contention_test.go
@@ -17,7 +17,7 @@
 )
 
 // Standing must count only where customers are in force or the routes of one pool differ in priority. A refused caller must
-// be told to come back within a third of the time that it has left.
+// get a Retry-After within a third of the time that it has left.
 func TestStandingOfRefusedGenerations(t *testing.T) {
 	tests := map[string]struct {
 		priorities []int
--- a/router/gateway/crash.go
+++ b/router/gateway/crash.go
@@ -255,7 +255,7 @@
 	return g.crashes.table.Urgent(now, maxSuspectsShared)
 }
 
-// SharedSuspects returns what other entries are told of contents, in bounded size: the suspects, and some parts of prompts
+// SharedSuspects returns what other entries receive about contents, in bounded size: the suspects, and some parts of prompts
 // that engines have answered.
 func (g *Gateway) SharedSuspects(now time.Time) []quarantine.Suspect {
 	return g.crashes.table.Shared(now, maxSuspectsShared)
--- a/router/gateway/customer_quota_test.go
+++ b/router/gateway/customer_quota_test.go
@@ -85,7 +85,7 @@
 		"public route without a key":   {tokens, "/open/x", "", generation, 0, "answered", 0},
 		"public route, known key":      {tokens, "/open/x", "k1", generation, 0, "quota_exceeded/no", 0},
 		"unknown key, quota used up":   {tokens, "/x", "k2", generation, 0, "unauthenticated/no", 0},
-		"public route, key of nobody":  {tokens, "/open/x", "k2", generation, 0, "answered", 0},
+		"public route, unknown key":    {tokens, "/open/x", "k2", generation, 0, "answered", 0},
 		"no key where one is required": {tokens, "/x", "", generation, 0, "unauthenticated/no", 0},
 	}
 	for name, tt := range tests {
--- a/router/gateway/identity.go
+++ b/router/gateway/identity.go
@@ -15,7 +15,7 @@
 	// maxUnknownKeyAge is the age of the knowledge of keys from which an unknown key is refused with a retry delay instead of
 	// finally: the key may be newer. It is above the age in calm conditions, of a watch without changes and the next one.
 	maxUnknownKeyAge = 6 * time.Second
-	// loggedDigestBytes is the length of the prefix of a digest in logs, which tells keys apart.
+	// loggedDigestBytes is the length of the prefix of a digest in logs, which distinguishes keys.
 	loggedDigestBytes = 8
 )
 
@@ -75,7 +75,7 @@
 	return nil, refusal.New(refusal.RanNo, refusal.Unauthenticated, 0, "unknown key")
 }
 
-// identity returns what upstreams are told of the customer.
+// identity returns what upstreams receive about the customer.
 func (ar *activeRequest) identity() Identity {
 	i := Identity{InForce: ar.table.HasCustomers()}
 	if ar.customer != nil {
--- a/router/gateway/identity_test.go
+++ b/router/gateway/identity_test.go
@@ -223,8 +223,8 @@
 	})
 }
 
-// From the ID of a refused request, an operator finds the cause, the version of the keys and a digest by which keys are told
-// apart. The key itself is in no line.
+// From the ID of a refused request, an operator finds the cause, the version of the keys and a digest that distinguishes
+// keys. The key itself is in no line.
 func TestRefusalIsLoggedWithTheDigestOfTheKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -163,7 +163,7 @@
 }
 
 // awaitMove returns where a stream continues that ended with an error because its run was stopped; nil if it was not, or if
-// nobody needs it.
+// the request has ended.
 func (n *generation) awaitMove(ctx context.Context, err error) *handover {
 	continues := err != nil && ctx.Err() == nil && !errors.Is(err, errCallerDisconnected) && isConnectionLoss(err) && !n.stallMonitor.decodeCancelled()
 	h := n.move.finish(ctx, continues)
--- a/router/gateway/move_fleet_test.go
+++ b/router/gateway/move_fleet_test.go
@@ -47,7 +47,7 @@
 		copied    func(stop bool)
 		// lingers reports whether engines write streams on after their runs were stopped.
 		lingers bool
-		// decodes are the engines that ran a request, in order, and remaining the times that they were told.
+		// decodes are the engines that ran a request, in order, and remaining the times that were left to them.
 		decodes   []string
 		remaining []time.Duration
 		moveCount
--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -54,7 +54,7 @@
 		Identity    Identity
 	}
 
-	// Identity is what an upstream is told of the customer of a request.
+	// Identity is what an upstream receives about the customer of a request.
 	Identity struct {
 		// InForce reports whether customers are in force. If not, the caller's own statements are passed on.
 		InForce bool
