--- a/review/rig-2/entry.go
+++ b/review/rig-2/entry.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// talaGrown is the sheet of demands/tala-stmt-grown.toml with an edge machine of 120 MB.
+func talaGrown() sheet {
+	return sheet{
+		limits: object{"cpuShare": 0.109, "cores": 1, "memoryMb": 120, "maxFds": 3075, "linkMbps": 10.0, "diskMb": 0},
+		bounds: object{
+			"seedLagS": 3, "contactMs": 4000, "drainMs": 3000, "graceS": 8, "configDeadlineMs": 3000,
+			"budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 100, "requireFencing": false, "leaseMs": 3000,
+		},
+	}
+}
+
 // fields are the settings of a process, as the pages show them.
 func fields(s sheet, name, ip string, ports [3]int, storeAddress string, seeds []string) object {
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -26,6 +26,7 @@
 	fmt.Fprintf(record, "%8.3f  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// atEnd runs a function at the end of the case.
 func atEnd(f func()) { ends = append(ends, f) }
 
 func main() { os.Exit(run()) }
