--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -53,7 +53,7 @@
 		route("r-1", "/puxa403/", "non_idempotent", "balcao", 1500, 300, 1),
 		route("r-2", "/cufi504/", "idempotent", "balcao", 14000, 300, 2),
 	}, []object{plainService("balcao")}))
-	ip := "127.0.0.2"
+	ip := freeIPs(1)[0]
 	e := startEntry(fields(sul(), "edge-sul-a-1", ip, freePorts([]string{ip}), s.addr, []string{}))
 	e.awaitReady(15 * time.Second)
 	stopQuota := make(chan struct{})
--- a/review/rig-2/entry.go
+++ b/review/rig-2/entry.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -115,6 +115,25 @@
 	})
 }
 
+// freeIPs returns loopback addresses that follow each other and at which the port of the metrics is free.
+func freeIPs(n int) []string {
+next:
+	for {
+		prefix, first := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), 1+rand.IntN(250)), 10+rand.IntN(80)
+		var ips []string
+		for i := range n {
+			ip := fmt.Sprintf("%s%d", prefix, first+i)
+			l, err := net.Listen("tcp4", ip+":9100")
+			if err != nil {
+				continue next
+			}
+			l.Close()
+			ips = append(ips, ip)
+		}
+		return ips
+	}
+}
+
 // freePorts returns ports that are free at all the addresses.
 func freePorts(ips []string) [3]int {
 	var ports [3]int
@@ -200,8 +219,3 @@
 	}
 	panic("setup: " + e.name + " is not ready")
 }
-
-func (e *entry) logged(text string) int {
-	b, _ := os.ReadFile(e.log.Name())
-	return bytes.Count(b, []byte(text))
-}
--- a/review/rig-2/orders.go
+++ b/review/rig-2/orders.go
@@ -18,10 +18,7 @@
 	service := plainService("huvo11a")
 	service["engine"] = object{"slots": 64, "kvCapacity": 42331, "stride": 1, "kvHoldS": 0.5, "holdMs": 2000.0}
 	s.put("op/config", config(7, []object{route("r-1", "/lohu930/", "streaming", "huvo11a", 14000, 900, 1)}, []object{service}))
-	var ips []string
-	for i := range 4 {
-		ips = append(ips, fmt.Sprintf("127.0.0.%d", 2+i))
-	}
+	ips := freeIPs(4)
 	ports := freePorts(ips)
 	var entries []*entry
 	for i, ip := range ips {
--- a/review/rig-2/stall.go
+++ b/review/rig-2/stall.go
@@ -25,7 +25,7 @@
 		return list
 	}
 	s.put("op/config", config(7, routes("huvo11a"), services))
-	ip := "127.0.0.2"
+	ip := freeIPs(1)[0]
 	e := startEntry(fields(sulGrown(), "edge-sul-a-1", ip, freePorts([]string{ip}), l.addr, []string{}))
 	e.awaitReady(15 * time.Second)
 	time.Sleep(4 * time.Second)
--- a/review/rig-2/storm.go
+++ b/review/rig-2/storm.go
@@ -30,7 +30,7 @@
 		return list
 	}
 	s.put("op/config", config(7, routes("huvo11a", 7), services))
-	ip := "127.0.0.2"
+	ip := freeIPs(1)[0]
 	e := startEntry(fields(sulGrown(), "edge-sul-a-1", ip, freePorts([]string{ip}), l.addr, []string{}))
 	e.awaitReady(15 * time.Second)
 	time.Sleep(5 * time.Second)
--- a/review/rig-2/unread.go
+++ b/review/rig-2/unread.go
@@ -27,7 +27,7 @@
 		startServer(s, id, "ledger", "", "luzon-a")
 	}
 	s.put("op/config", config(7, []object{route("r-1", "/puxa403/", "non_idempotent", "ledger", 1500, 120, 1)}, []object{plainService("ledger")}))
-	ip := "127.0.0.2"
+	ip := freeIPs(1)[0]
 	e := startEntry(fields(talaGrown(), "edge-luzon-a-1", ip, freePorts([]string{ip}), s.addr, []string{}))
 	e.awaitReady(15 * time.Second)
 	ok, answered, sent := ordinary(e, 3*time.Second)
