Election: the entries of a starting fleet elect the one that gives orders

Cause: each entry compared itself with its own seeds, as if all entries had the same ones. Other lists made two coordinators, or none. The cause was looked for at the owners of quotas and the sidecars: they use seeds only to find each other.

--- a/gen/fleet/v1/member.twirp.go
+++ b/gen/fleet/v1/member.twirp.go
@@ -1016,42 +1016,542 @@
 	return baseServicePath(s.pathPrefix, "gooseberry.fleet.v1", "Quotas")
 }
 
+// ===================
+// Elections Interface
+// ===================
+
+// Elections is served by each entry of a fleet. At its first start, the entries elect the one that gives orders to engines.
+type Elections interface {
+	// Vote asks an entry to vote for a candidate. An entry votes once in its life.
+	Vote(context.Context, *VoteRequest) (*VoteResponse, error)
+}
+
+// =========================
+// Elections Protobuf Client
+// =========================
+
+type electionsProtobufClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewElectionsProtobufClient creates a Protobuf client that implements the Elections interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewElectionsProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Elections {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "gooseberry.fleet.v1", "Elections")
+	urls := [1]string{
+		serviceURL + "Vote",
+	}
+
+	return &electionsProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *electionsProtobufClient) Vote(ctx context.Context, in *VoteRequest) (*VoteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gooseberry.fleet.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Elections")
+	ctx = ctxsetters.WithMethodName(ctx, "Vote")
+	caller := c.callVote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *VoteRequest) (*VoteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VoteRequest) when calling interceptor")
+					}
+					return c.callVote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*VoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*VoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *electionsProtobufClient) callVote(ctx context.Context, in *VoteRequest) (*VoteResponse, error) {
+	out := new(VoteResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Elections JSON Client
+// =====================
+
+type electionsJSONClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewElectionsJSONClient creates a JSON client that implements the Elections interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewElectionsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Elections {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "gooseberry.fleet.v1", "Elections")
+	urls := [1]string{
+		serviceURL + "Vote",
+	}
+
+	return &electionsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *electionsJSONClient) Vote(ctx context.Context, in *VoteRequest) (*VoteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gooseberry.fleet.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Elections")
+	ctx = ctxsetters.WithMethodName(ctx, "Vote")
+	caller := c.callVote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *VoteRequest) (*VoteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VoteRequest) when calling interceptor")
+					}
+					return c.callVote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*VoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*VoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *electionsJSONClient) callVote(ctx context.Context, in *VoteRequest) (*VoteResponse, error) {
+	out := new(VoteResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ========================
+// Elections Server Handler
+// ========================
+
+type electionsServer struct {
+	Elections
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewElectionsServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewElectionsServer(svc Elections, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &electionsServer{
+		Elections:        svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *electionsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *electionsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// ElectionsPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ElectionsPathPrefix = "/twirp/gooseberry.fleet.v1.Elections/"
+
+func (s *electionsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "gooseberry.fleet.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Elections")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "gooseberry.fleet.v1.Elections" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Vote":
+		s.serveVote(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *electionsServer) serveVote(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveVoteJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveVoteProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *electionsServer) serveVoteJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Vote")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(VoteRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Elections.Vote
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *VoteRequest) (*VoteResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VoteRequest) when calling interceptor")
+					}
+					return s.Elections.Vote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*VoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*VoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *VoteResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *VoteResponse and nil error while calling Vote. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *electionsServer) serveVoteProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Vote")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(VoteRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Elections.Vote
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *VoteRequest) (*VoteResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VoteRequest) when calling interceptor")
+					}
+					return s.Elections.Vote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*VoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*VoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *VoteResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *VoteResponse and nil error while calling Vote. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *electionsServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor1, 2
+}
+
+func (s *electionsServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *electionsServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "gooseberry.fleet.v1", "Elections")
+}
+
 var twirpFileDescriptor1 = []byte{
-	// 574 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x54, 0xdd, 0x6e, 0xd3, 0x4c,
-	0x10, 0x95, 0x13, 0xff, 0x24, 0x93, 0x7e, 0xfd, 0xa4, 0xe5, 0x47, 0x6e, 0x0a, 0xc2, 0x98, 0x5e,
-	0x44, 0x08, 0x1c, 0x25, 0x08, 0xa9, 0xe2, 0xe7, 0xa2, 0xdc, 0x82, 0x91, 0x70, 0x81, 0x0b, 0x2e,
-	0x88, 0x36, 0xce, 0x24, 0x32, 0x8a, 0xd7, 0xee, 0xee, 0x26, 0x21, 0x12, 0x2f, 0xc0, 0x3d, 0x2f,
-	0xc0, 0x03, 0xf1, 0x4e, 0x68, 0x77, 0x1d, 0x87, 0x4a, 0xa6, 0xa2, 0x77, 0x3b, 0x33, 0xe7, 0x8c,
-	0xcf, 0x99, 0x19, 0x19, 0x82, 0x45, 0x51, 0x08, 0x9c, 0x22, 0xe7, 0xdb, 0xe1, 0x7c, 0x89, 0x28,
-	0x87, 0xeb, 0xd1, 0x30, 0xc7, 0x7c, 0x8a, 0x3c, 0x2a, 0x79, 0x21, 0x0b, 0x72, 0x63, 0x8f, 0x88,
-	0x34, 0x22, 0x5a, 0x8f, 0xfa, 0xf7, 0x9a, 0x68, 0xa6, 0xaa, 0x59, 0xe1, 0x77, 0x0b, 0xdc, 0x58,
-	0xb7, 0x21, 0x3e, 0x78, 0x74, 0x36, 0xe3, 0x28, 0x84, 0x6f, 0x05, 0xd6, 0xa0, 0x9b, 0xec, 0x42,
-	0x12, 0x40, 0x2f, 0x63, 0x29, 0xe5, 0x8c, 0xca, 0xac, 0x60, 0x7e, 0x2b, 0xb0, 0x06, 0xed, 0xe4,
-	0xcf, 0x14, 0x21, 0x60, 0x4f, 0x91, 0x4a, 0xbf, 0xad, 0x4b, 0xfa, 0x4d, 0x8e, 0xa1, 0x2b, 0xb2,
-	0x25, 0x32, 0x39, 0xc9, 0x85, 0x6f, 0xeb, 0x42, 0xc7, 0x24, 0x62, 0xa1, 0x08, 0x4b, 0x9c, 0x4b,
-	0xdf, 0x09, 0xac, 0x41, 0x27, 0xd1, 0xef, 0xf0, 0x97, 0x05, 0xf6, 0x5b, 0xdc, 0x08, 0xf2, 0x14,
-	0x3c, 0x63, 0x4d, 0x29, 0x69, 0x0f, 0x7a, 0xe3, 0xe3, 0xa8, 0xc1, 0x5c, 0x64, 0x74, 0x27, 0x3b,
-	0x2c, 0x39, 0x85, 0x8e, 0x58, 0x89, 0x12, 0x53, 0x29, 0xfc, 0x96, 0xe6, 0xdd, 0x69, 0xe4, 0x9d,
-	0x1b, 0x50, 0x52, 0xa3, 0x95, 0x75, 0xfc, 0x82, 0xa9, 0xc4, 0x99, 0xdf, 0x0e, 0xda, 0xca, 0x7a,
-	0x15, 0x92, 0x67, 0xe0, 0x2e, 0xb3, 0x3c, 0x93, 0xca, 0x81, 0xea, 0x18, 0x36, 0x76, 0xfc, 0x50,
-	0x0a, 0xc9, 0x91, 0xe6, 0x6f, 0x14, 0x34, 0xa9, 0x18, 0xe1, 0x0b, 0xe8, 0xc5, 0x88, 0x32, 0xc1,
-	0x8b, 0x15, 0x0a, 0x49, 0x1e, 0x83, 0xcd, 0x70, 0x63, 0x86, 0xdb, 0x1b, 0x1f, 0x35, 0x36, 0x52,
-	0xf6, 0x13, 0x0d, 0x0b, 0x5f, 0xc2, 0x81, 0x61, 0x8b, 0xb2, 0x60, 0x02, 0xaf, 0x4b, 0xff, 0x61,
-	0xc1, 0x7f, 0x97, 0x64, 0x91, 0x3e, 0x74, 0x56, 0x55, 0xa2, 0x5a, 0x70, 0x1d, 0x93, 0xdb, 0xe0,
-	0x0a, 0x49, 0x95, 0xff, 0x96, 0x5e, 0x48, 0x15, 0x91, 0xbb, 0x00, 0x25, 0xf2, 0x89, 0xc0, 0xb4,
-	0x60, 0x33, 0xbd, 0x5d, 0x2b, 0xe9, 0x96, 0xc8, 0xcf, 0x75, 0x82, 0x1c, 0x41, 0x47, 0x64, 0x2c,
-	0xc5, 0xfd, 0x86, 0x3d, 0x1d, 0xc7, 0x82, 0xdc, 0x02, 0x97, 0x2e, 0x74, 0xc1, 0xd1, 0x05, 0x87,
-	0x2e, 0x30, 0x16, 0xe1, 0x37, 0x38, 0x3c, 0x4b, 0x2f, 0x56, 0x19, 0xc7, 0xdd, 0x58, 0x6e, 0x82,
-	0x83, 0x4c, 0xf2, 0x6d, 0xa5, 0xc9, 0x04, 0xe4, 0x14, 0x1c, 0x3d, 0x45, 0xad, 0xe7, 0xdf, 0xc6,
-	0x6e, 0x08, 0xca, 0x26, 0x37, 0xad, 0x85, 0x16, 0xec, 0x24, 0x75, 0x1c, 0xfe, 0xb4, 0xe0, 0xff,
-	0xfa, 0xf3, 0xd5, 0x5c, 0x7d, 0xf0, 0x16, 0x9c, 0x32, 0xe5, 0xdd, 0xd2, 0xf0, 0x5d, 0x48, 0x4e,
-	0xe0, 0x90, 0xa3, 0xe4, 0xdb, 0x09, 0x9d, 0x4b, 0xe4, 0xca, 0x8a, 0xb9, 0xfc, 0x03, 0x9d, 0x3d,
-	0x53, 0xc9, 0x58, 0x28, 0xfd, 0xc5, 0x86, 0x21, 0xd7, 0x1f, 0xeb, 0x26, 0x26, 0xd8, 0xeb, 0xb7,
-	0xaf, 0xa9, 0x7f, 0xfc, 0x11, 0xbc, 0xb8, 0x3a, 0xe8, 0xd7, 0x60, 0xab, 0x13, 0x20, 0xc1, 0x5f,
-	0xce, 0xbf, 0xbe, 0xad, 0xfe, 0xfd, 0x2b, 0x10, 0xc6, 0xe7, 0xf8, 0x33, 0xb8, 0xef, 0x56, 0x85,
-	0xa4, 0x82, 0xbc, 0x07, 0xaf, 0x1a, 0x02, 0x79, 0xd0, 0xc8, 0xbb, 0xbc, 0xa1, 0xfe, 0xc9, 0xd5,
-	0x20, 0xd3, 0xff, 0xd5, 0xa3, 0x4f, 0x0f, 0xf7, 0xb0, 0x32, 0x63, 0x11, 0x7e, 0xa5, 0x79, 0xb9,
-	0xc4, 0xe1, 0x02, 0x59, 0xfd, 0xef, 0x79, 0xae, 0x1f, 0xeb, 0xd1, 0xd4, 0xd5, 0xbf, 0x9f, 0x27,
-	0xbf, 0x03, 0x00, 0x00, 0xff, 0xff, 0x21, 0xc0, 0xff, 0xab, 0xd8, 0x04, 0x00, 0x00,
+	// 637 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x54, 0x5d, 0x6f, 0xd3, 0x30,
+	0x14, 0x55, 0xd6, 0xef, 0xdb, 0x31, 0x24, 0xf3, 0xa1, 0xac, 0x1b, 0x22, 0x84, 0x3d, 0x54, 0x08,
+	0x5a, 0xad, 0x08, 0x69, 0xe2, 0xe3, 0x61, 0x48, 0x7b, 0x82, 0x20, 0x91, 0xc1, 0x84, 0x78, 0x60,
+	0x72, 0x93, 0xbb, 0x2a, 0xa8, 0x75, 0x32, 0xdb, 0xdd, 0x98, 0xc4, 0x1f, 0xe0, 0x9d, 0x3f, 0xc0,
+	0x0f, 0xe2, 0x3f, 0x21, 0x5f, 0xbb, 0xe9, 0x26, 0xa5, 0x13, 0x7b, 0xcb, 0xbd, 0x3e, 0xe7, 0xfa,
+	0x9c, 0x63, 0xc7, 0x10, 0x4c, 0xf2, 0x5c, 0xe1, 0x18, 0xa5, 0xbc, 0x18, 0x9e, 0x4c, 0x11, 0xf5,
+	0xf0, 0x6c, 0x77, 0x38, 0xc3, 0xd9, 0x18, 0xe5, 0xa0, 0x90, 0xb9, 0xce, 0xd9, 0x9d, 0x25, 0x62,
+	0x40, 0x88, 0xc1, 0xd9, 0x6e, 0xef, 0x61, 0x15, 0xcd, 0xae, 0x12, 0x2b, 0xfc, 0xe5, 0x41, 0x33,
+	0xa2, 0x31, 0xcc, 0x87, 0x16, 0x4f, 0x53, 0x89, 0x4a, 0xf9, 0x5e, 0xe0, 0xf5, 0x3b, 0xf1, 0xa2,
+	0x64, 0x01, 0x74, 0x33, 0x91, 0x70, 0x29, 0xb8, 0xce, 0x72, 0xe1, 0xaf, 0x05, 0x5e, 0xbf, 0x16,
+	0x5f, 0x6e, 0x31, 0x06, 0xf5, 0x31, 0x72, 0xed, 0xd7, 0x68, 0x89, 0xbe, 0xd9, 0x16, 0x74, 0x54,
+	0x36, 0x45, 0xa1, 0x8f, 0x67, 0xca, 0xaf, 0xd3, 0x42, 0xdb, 0x36, 0x22, 0x65, 0x08, 0x53, 0x3c,
+	0xd1, 0x7e, 0x23, 0xf0, 0xfa, 0xed, 0x98, 0xbe, 0xc3, 0xbf, 0x1e, 0xd4, 0x3f, 0xe0, 0xb9, 0x62,
+	0x2f, 0xa0, 0x65, 0xad, 0x19, 0x25, 0xb5, 0x7e, 0x77, 0xb4, 0x35, 0xa8, 0x30, 0x37, 0xb0, 0xba,
+	0xe3, 0x05, 0x96, 0xed, 0x41, 0x5b, 0xcd, 0x55, 0x81, 0x89, 0x56, 0xfe, 0x1a, 0xf1, 0xb6, 0x2b,
+	0x79, 0x87, 0x16, 0x14, 0x97, 0x68, 0x63, 0x1d, 0xbf, 0x63, 0xa2, 0x31, 0xf5, 0x6b, 0x41, 0xcd,
+	0x58, 0x77, 0x25, 0x7b, 0x09, 0xcd, 0x69, 0x36, 0xcb, 0xb4, 0x71, 0x60, 0x26, 0x86, 0x95, 0x13,
+	0x3f, 0x17, 0x4a, 0x4b, 0xe4, 0xb3, 0xf7, 0x06, 0x1a, 0x3b, 0x46, 0xf8, 0x1a, 0xba, 0x11, 0xa2,
+	0x8e, 0xf1, 0x74, 0x8e, 0x4a, 0xb3, 0x67, 0x50, 0x17, 0x78, 0x6e, 0xc3, 0xed, 0x8e, 0x36, 0x2b,
+	0x07, 0x19, 0xfb, 0x31, 0xc1, 0xc2, 0x37, 0xb0, 0x6e, 0xd9, 0xaa, 0xc8, 0x85, 0xc2, 0x9b, 0xd2,
+	0x7f, 0x7b, 0x70, 0xeb, 0x8a, 0x2c, 0xd6, 0x83, 0xf6, 0xdc, 0x35, 0xdc, 0x01, 0x97, 0x35, 0xbb,
+	0x0f, 0x4d, 0xa5, 0xb9, 0xf1, 0xbf, 0x46, 0x07, 0xe2, 0x2a, 0xf6, 0x00, 0xa0, 0x40, 0x79, 0xac,
+	0x30, 0xc9, 0x45, 0x4a, 0xa7, 0xeb, 0xc5, 0x9d, 0x02, 0xe5, 0x21, 0x35, 0xd8, 0x26, 0xb4, 0x55,
+	0x26, 0x12, 0x5c, 0x9e, 0x70, 0x8b, 0xea, 0x48, 0xb1, 0x7b, 0xd0, 0xe4, 0x13, 0x5a, 0x68, 0xd0,
+	0x42, 0x83, 0x4f, 0x30, 0x52, 0xe1, 0x4f, 0xd8, 0xd8, 0x4f, 0x4e, 0xe7, 0x99, 0xc4, 0x45, 0x2c,
+	0x77, 0xa1, 0x81, 0x42, 0xcb, 0x0b, 0xa7, 0xc9, 0x16, 0x6c, 0x0f, 0x1a, 0x94, 0x22, 0xe9, 0xf9,
+	0xbf, 0xd8, 0x2d, 0xc1, 0xd8, 0x94, 0x76, 0xb4, 0x22, 0xc1, 0x8d, 0xb8, 0xac, 0xc3, 0x3f, 0x1e,
+	0xdc, 0x2e, 0xb7, 0x77, 0xb9, 0xfa, 0xd0, 0x9a, 0x48, 0x2e, 0x8c, 0x77, 0x8f, 0xe0, 0x8b, 0x92,
+	0xed, 0xc0, 0x86, 0x44, 0x2d, 0x2f, 0x8e, 0xf9, 0x89, 0x46, 0x69, 0xac, 0xd8, 0x9b, 0xbf, 0x4e,
+	0xdd, 0x7d, 0xd3, 0x8c, 0x94, 0xd1, 0x9f, 0x9f, 0x0b, 0x94, 0xb4, 0x59, 0x27, 0xb6, 0xc5, 0x52,
+	0x7f, 0xfd, 0x86, 0xfa, 0xc3, 0x03, 0xe8, 0x1e, 0xe5, 0xba, 0x8c, 0x67, 0x1b, 0x3a, 0x09, 0x17,
+	0x69, 0x96, 0x72, 0x8d, 0x2e, 0xa2, 0x65, 0xc3, 0x88, 0x1f, 0x67, 0x22, 0xcd, 0xc4, 0xc4, 0x1d,
+	0xdc, 0xa2, 0x0c, 0xfb, 0xb0, 0x6e, 0xc7, 0x54, 0xdb, 0x6c, 0x97, 0x36, 0x47, 0x47, 0xd0, 0x8a,
+	0xdc, 0x1f, 0xf4, 0x0e, 0xea, 0xe6, 0xce, 0xb1, 0x60, 0xc5, 0xff, 0x56, 0x5e, 0xe6, 0xde, 0xa3,
+	0x6b, 0x10, 0x76, 0xc7, 0xd1, 0x37, 0x68, 0x7e, 0x9c, 0xe7, 0x9a, 0x2b, 0xf6, 0x09, 0x5a, 0x2e,
+	0x75, 0xf6, 0xb8, 0x92, 0x77, 0xf5, 0x4a, 0xf4, 0x76, 0xae, 0x07, 0xb9, 0xf9, 0x5f, 0xa0, 0x73,
+	0x30, 0xc5, 0xc4, 0xbc, 0x3f, 0xa4, 0xdc, 0xd8, 0x5d, 0xa1, 0xfc, 0x52, 0xa0, 0x2b, 0x94, 0x5f,
+	0xce, 0xea, 0xed, 0xd3, 0xaf, 0x4f, 0x96, 0x98, 0x22, 0x13, 0x03, 0xfc, 0xc1, 0x67, 0xc5, 0x14,
+	0x87, 0x13, 0x14, 0xe5, 0x33, 0xfa, 0x8a, 0x3e, 0xce, 0x76, 0xc7, 0x4d, 0x7a, 0x49, 0x9f, 0xff,
+	0x0b, 0x00, 0x00, 0xff, 0xff, 0xa4, 0x5f, 0xfa, 0x1c, 0xa3, 0x05, 0x00, 0x00,
 }
--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -96,6 +96,14 @@
 	StreamMoved = Event{Number: 6080, Text: "stream moved to another engine"}
 	// StreamMoveFailed is logged when a stream did not move to another engine.
 	StreamMoveFailed = Event{Number: 6081, Text: "moving a stream failed"}
+	// VoteGiven is logged when the entry has voted for the one that gives orders to engines.
+	VoteGiven = Event{Number: 6090, Text: "vote given"}
+	// CoordinatorElected is logged when the entry is elected to give orders to engines.
+	CoordinatorElected = Event{Number: 6091, Text: "elected to give orders to engines"}
+	// VoteRefused is logged when an entry does not vote for this one.
+	VoteRefused = Event{Number: 6092, Text: "vote refused"}
+	// VoteMissing is logged when an entry does not answer the request for its vote.
+	VoteMissing = Event{Number: 6093, Text: "vote missing"}
 	// MemoryRefused is logged when a request is refused because no memory is left for its body.
 	MemoryRefused = Event{Number: 6040, Text: "request refused for memory"}
 	// BodyStalled is logged when the body of a request is not complete in time.
--- a/router/formation/rebalancer.go
+++ b/router/formation/rebalancer.go
@@ -42,12 +42,13 @@
 		SwitchPhase(ctx context.Context, m *upstream.Member, to upstream.Phase) error
 	}
 
-	// Rebalancer switches surplus prefill engines to decode when a fleet starts for the first time. Only one
-	// process of a fleet may run it.
+	// Rebalancer switches surplus prefill engines to decode when a fleet starts for the first time. It gives orders only while
+	// this process is the coordinator of the fleet.
 	Rebalancer struct {
-		directory *upstream.Directory
-		orders    Orders
-		share     float64
+		directory   *upstream.Directory
+		coordinates func(context.Context) bool
+		orders      Orders
+		share       float64
 		// minStableTime is how long the directory must not have grown.
 		minStableTime time.Duration
 		idle          func() bool
@@ -60,9 +61,10 @@
 
 // NewRebalancer returns a Rebalancer that keeps a share of each pool's engines for prefill. It switches engines
 // only while idle returns true: no request has been served yet. updateInterval is the longest time
-// between two updates of the directory.
-func NewRebalancer(directory *upstream.Directory, updateInterval time.Duration, orders Orders, share float64, idle func() bool, log event.Log) *Rebalancer {
-	return &Rebalancer{directory: directory, orders: orders, share: share, minStableTime: updateInterval + settleTime, idle: idle, log: log, switched: make(map[string]bool)}
+// between two updates of the directory. coordinates reports whether this process is the one that gives orders; it is called
+// only when there are orders to give.
+func NewRebalancer(directory *upstream.Directory, updateInterval time.Duration, coordinates func(context.Context) bool, orders Orders, share float64, idle func() bool, log event.Log) *Rebalancer {
+	return &Rebalancer{directory: directory, coordinates: coordinates, orders: orders, share: share, minStableTime: updateInterval + settleTime, idle: idle, log: log, switched: make(map[string]bool)}
 }
 
 // Run switches surplus engines whenever the directory has stopped growing, until a request is served, the
@@ -85,22 +87,27 @@
 			case now.After(end):
 				return
 			case size > 0 && now.Sub(lastGrowth) >= b.minStableTime:
-				b.switchSurplus(ctx)
-				// Only further growth starts another round within the window.
-				size, lastGrowth = known, now.Add(switchWindow)
+				if b.switchSurplus(ctx) {
+					// Only further growth starts another round within the window.
+					size, lastGrowth = known, now.Add(switchWindow)
+				}
 			}
 		}
 	}
 }
 
 // switchSurplus orders the surplus prefill engines of all pools to decode. It counts engines that accepted an
-// earlier order as decode engines.
-func (b *Rebalancer) switchSurplus(ctx context.Context) {
+// earlier order as decode engines. It returns false if there is a surplus and this process does not coordinate.
+func (b *Rebalancer) switchSurplus(ctx context.Context) bool {
 	for _, pool := range b.directory.Pools() {
 		published := b.directory.Published(pool, upstream.PhasePrefill)
 		prefill := slices.DeleteFunc(slices.Clone(published), func(m *upstream.Member) bool { return b.switched[m.ID] })
 		decode := len(b.directory.Published(pool, upstream.PhaseDecode)) + len(published) - len(prefill)
-		for _, m := range Surplus(prefill, decode, b.share) {
+		surplus := Surplus(prefill, decode, b.share)
+		if len(surplus) > 0 && !b.coordinates(ctx) {
+			return false
+		}
+		for _, m := range surplus {
 			limited, cancel := context.WithTimeout(ctx, orderTimeout)
 			err := b.orders.SwitchPhase(limited, m, upstream.PhaseDecode)
 			cancel()
@@ -114,6 +121,7 @@
 			b.log.Info(event.EnginePhaseSwitched, fields...)
 		}
 	}
+	return true
 }
 
 // Surplus returns the prefill engines of a pool that exceed the given share of all its engines plus the
--- a/router/formation/rebalancer_test.go
+++ b/router/formation/rebalancer_test.go
@@ -98,16 +98,20 @@
 		// served is when the first request is served.
 		served time.Duration
 		err    error
+		// elected is when this process is elected to give orders.
+		elected time.Duration
 		// want is the number of orders to switch.
 		want int
 	}{
-		"surplus":               {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, time.Hour, nil, 2},
-		"orders fail":           {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, time.Hour, errors.New("no answer"), 3},
-		"request served before": {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, 500 * time.Millisecond, nil, 0},
-		"engine published late": {[]time.Duration{0, 0, 1100 * time.Millisecond, 3100 * time.Millisecond}, time.Hour, nil, 2},
-		"large fleet":           {[]time.Duration{time.Second, 2 * time.Second, 3500 * time.Millisecond, 4400 * time.Millisecond}, time.Hour, nil, 2},
-		"late engines only":     {[]time.Duration{7200 * time.Millisecond, 7600 * time.Millisecond, 8 * time.Second, 8 * time.Second}, time.Hour, nil, 0},
-		"no engine":             {nil, time.Hour, nil, 0},
+		"surplus":               {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, time.Hour, nil, 0, 2},
+		"orders fail":           {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, time.Hour, errors.New("no answer"), 0, 3},
+		"request served before": {[]time.Duration{0, 0, 1100 * time.Millisecond, 1100 * time.Millisecond}, 500 * time.Millisecond, nil, 0, 0},
+		"engine published late": {[]time.Duration{0, 0, 1100 * time.Millisecond, 3100 * time.Millisecond}, time.Hour, nil, 0, 2},
+		"large fleet":           {[]time.Duration{time.Second, 2 * time.Second, 3500 * time.Millisecond, 4400 * time.Millisecond}, time.Hour, nil, 0, 2},
+		"late engines only":     {[]time.Duration{7200 * time.Millisecond, 7600 * time.Millisecond, 8 * time.Second, 8 * time.Second}, time.Hour, nil, 0, 0},
+		"no engine":             {nil, time.Hour, nil, 0, 0},
+		"elected later":         {[]time.Duration{0, 0, 0, 0}, time.Hour, nil, 3 * time.Second, 2},
+		"another is elected":    {[]time.Duration{0, 0, 0, 0}, time.Hour, nil, time.Hour, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -119,7 +123,8 @@
 					time.AfterFunc(after, func() { d.Put(engine(fmt.Sprint("p", i), "x", upstream.PhasePrefill)) })
 				}
 				idle := func() bool { return time.Since(began) < tt.served }
-				formation.NewRebalancer(d, 0, o, 0.1, idle, event.Discard()).Run(t.Context())
+				coordinates := func(context.Context) bool { return time.Since(began) >= tt.elected }
+				formation.NewRebalancer(d, 0, coordinates, o, 0.1, idle, event.Discard()).Run(t.Context())
 				is.Equal(len(o.switched), tt.want)
 				is.True(time.Since(began) <= 9*time.Second)
 				time.Sleep(10 * time.Second)
@@ -139,7 +144,8 @@
 			d.Put(engine(fmt.Sprint("p", i), "x", upstream.PhasePrefill))
 			time.AfterFunc(updateInterval, func() { d.Put(engine(fmt.Sprint("d", i), "x", upstream.PhaseDecode)) })
 		}
-		formation.NewRebalancer(d, updateInterval, o, 0.3, func() bool { return true }, event.Discard()).Run(t.Context())
+		coordinates := func(context.Context) bool { return true }
+		formation.NewRebalancer(d, updateInterval, coordinates, o, 0.3, func() bool { return true }, event.Discard()).Run(t.Context())
 		is.Equal(len(o.switched), 0)
 	})
 }
