--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -96,6 +96,8 @@
 	StreamMoved = Event{Number: 6080, Text: "stream moved to another engine"}
 	// StreamMoveFailed is logged when a stream did not move to another engine.
 	StreamMoveFailed = Event{Number: 6081, Text: "moving a stream failed"}
+	// ChangesTooLong is logged when the changes of the platform's store are longer than the current values, which are read instead.
+	ChangesTooLong = Event{Number: 6034, Text: "changes longer than the list"}
 	// VoteGiven is logged when the entry has voted for the one that gives orders to engines.
 	VoteGiven = Event{Number: 6090, Text: "vote given"}
 	// CoordinatorElected is logged when the entry is elected to give orders to engines.
