Store: leave out servers of a service that is not configured

A server that had asked for a pause of 30 s got requests again at once after its registration lapsed, if its service was configured after its last registration; also after a configuration without its service, or after another writer had overwritten its registration. Cause: a server of a service that is not configured was put into the directory without its start time, so that an odd entry is no successor of a server at its address. The next registration with a start time was another incarnation with a new history. Change: such a server is left out (6035), and the directory keeps the history of the incarnation before as after any lapse. Servers that are members with the same start and address stay.

--- a/router/event/ingress.go
+++ b/router/event/ingress.go
@@ -98,6 +98,8 @@
 	StreamMoveFailed = Event{Number: 6081, Text: "moving a stream failed"}
 	// ChangesTooLong is logged when the changes of the platform's store are longer than the current values, which are read instead.
 	ChangesTooLong = Event{Number: 6034, Text: "changes longer than the list"}
+	// UpstreamUnconfigured is logged when an upstream is published whose pool is not configured.
+	UpstreamUnconfigured = Event{Number: 6035, Text: "upstream of a pool that is not configured"}
 	// VoteGiven is logged when the entry has voted for the one that gives orders to engines.
 	VoteGiven = Event{Number: 6090, Text: "vote given"}
 	// CoordinatorElected is logged when the entry is elected to give orders to engines.
--- a/router/upstream/directory.go
+++ b/router/upstream/directory.go
@@ -343,6 +343,15 @@
 	return found
 }
 
+// ContainsIncarnation reports whether the same incarnation is a member at the same address. Without a start time, incarnations
+// can't be told apart.
+func (d *Directory) ContainsIncarnation(u Upstream) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	m, found := d.members[u.ID]
+	return found && m.Address == u.Address && !u.Started.IsZero() && m.Started.Equal(u.Started)
+}
+
 // Size returns the number of members.
 func (d *Directory) Size() int {
 	d.mu.RLock()
