Exchange, eventstream: long heads and events take memory from the budget

Cause: heads and events were limited to 256 KB each and were not in the memory budget. Change: beyond 8 KB, each 8 KB of a head or an event take 24 KB from the budget, or the answer is given up. Control calls to engines get 8 KB. A head that is cut off within a line is reported as too long, not as a lost connection.

--- a/router/eventstream/eventstream.go
+++ b/router/eventstream/eventstream.go
@@ -15,6 +15,12 @@
 const (
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 256 << 10
+	// freeEventBytes is the part of an event that takes no memory by Memory.Grow. Usual events have some hundred bytes.
+	freeEventBytes = 8 << 10
+	// eventStepBytes is the part of a longer event that is read once the memory for it is taken: eventMemoryFactor times as much,
+	// for the line, the event and their growth by doubling.
+	eventStepBytes    = 8 << 10
+	eventMemoryFactor = 3
 	// readBufferBytes is the size of the buffer of a reader, in bytes.
 	readBufferBytes = 2 << 10
 )
@@ -24,6 +30,8 @@
 	ErrTruncated = eris.New("stream ended in the middle of an event")
 	// ErrTooLong is returned if an event exceeds the maximum size of 256 KiB.
 	ErrTooLong = eris.New("event is too long")
+	// ErrMemory is returned if no memory is left for a long event.
+	ErrMemory = eris.New("no memory is left for the event")
 )
 
 type (
@@ -37,23 +45,58 @@
 		HasID bool
 	}
 
+	// Memory is what a reader takes memory from for long events. An event is held until the next one is read.
+	Memory interface {
+		// Grow takes bytes, or returns false if they are not left.
+		Grow(bytes int64) bool
+		// Shrink returns bytes.
+		Shrink(bytes int64)
+	}
+
 	// Reader reads the events of a stream.
 	Reader struct {
 		source *bufio.Reader
+		memory Memory
+		// taken is the memory that the current event has taken, and allowed the size up to which it may grow without more.
+		taken   int64
+		allowed int
 	}
 )
 
-// NewReader returns a reader of the events in the stream r.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{source: bufio.NewReaderSize(r, readBufferBytes)}
+// NewReader returns a reader of the events in the stream r. Release returns the memory that it has taken.
+func NewReader(r io.Reader, memory Memory) *Reader {
+	return &Reader{source: bufio.NewReaderSize(r, readBufferBytes), memory: memory}
+}
+
+// Release returns the memory of the last event.
+func (r *Reader) Release() {
+	if r.taken > 0 {
+		r.memory.Shrink(r.taken)
+		r.taken = 0
+	}
+}
+
+// grow takes the memory for an event that has a number of bytes now.
+func (r *Reader) grow(bytes int) error {
+	for bytes > r.allowed {
+		if !r.memory.Grow(eventStepBytes * eventMemoryFactor) {
+			return ErrMemory
+		}
+		r.taken += eventStepBytes * eventMemoryFactor
+		r.allowed += eventStepBytes
+	}
+	return nil
 }
 
 // Next returns the next complete event. It returns io.EOF after the last event, ErrTruncated if the stream ends
-// in the middle of an event, ErrTooLong if the event is too long, or the error of the source.
+// in the middle of an event, ErrTooLong if the event is too long, ErrMemory if there is no memory for it, or the error of the
+// source.
 func (r *Reader) Next() (Event, error) {
+	r.Release()
+	r.allowed = freeEventBytes
 	var e Event
 	for {
-		line, err := r.line(maxEventBytes - len(e.Raw))
+		line, err := r.line(len(e.Raw))
 		e.Raw = append(e.Raw, line...)
 		if err != nil {
 			return Event{}, endError(err, e.Raw)
@@ -78,15 +121,19 @@
 	return err
 }
 
-// line reads a line with its line feed. It returns ErrTooLong if the line is longer than limit bytes.
-func (r *Reader) line(limit int) ([]byte, error) {
+// line reads a line with its line feed, the next one of an event that has a number of bytes before it.
+func (r *Reader) line(before int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.source.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > limit {
+		length := before + len(line) + len(part)
+		if length > maxEventBytes {
 			return nil, ErrTooLong
 		}
+		if err := r.grow(length); err != nil {
+			return nil, err
+		}
+		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
 		}
--- a/router/eventstream/eventstream_test.go
+++ b/router/eventstream/eventstream_test.go
@@ -13,8 +13,24 @@
 	"gooseberrypin.example/router/eventstream"
 )
 
+// testMemory is memory with a limit, and the largest number of bytes that was taken.
+type testMemory struct{ limit, taken, peak int64 }
+
+func newMemory() *testMemory { return &testMemory{limit: 4 << 20} }
+
+func (m *testMemory) Grow(bytes int64) bool {
+	if m.taken+bytes > m.limit {
+		return false
+	}
+	m.taken += bytes
+	m.peak = max(m.peak, m.taken)
+	return true
+}
+
+func (m *testMemory) Shrink(bytes int64) { m.taken -= bytes }
+
 func ExampleReader_Next() {
-	r := eventstream.NewReader(strings.NewReader("id: 1\ndata: quilt\n\nid: 2\ndata: air\n\n"))
+	r := eventstream.NewReader(strings.NewReader("id: 1\ndata: quilt\n\nid: 2\ndata: air\n\n"), newMemory())
 	for {
 		e, err := r.Next()
 		if err != nil {
@@ -48,7 +64,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := eventstream.NewReader(iotest.OneByteReader(strings.NewReader(tt.stream)))
+			r := eventstream.NewReader(iotest.OneByteReader(strings.NewReader(tt.stream)), newMemory())
 			var ids []int64
 			for {
 				e, err := r.Next()
@@ -66,13 +82,51 @@
 	}
 }
 
+// Guards against a faulty engine that fills the memory of the process with events that do not end.
+func TestLongEventsTakeMemory(t *testing.T) {
+	event := func(bytes int) string { return "data: " + strings.Repeat("x", bytes) + "\n\n" }
+	tests := map[string]struct {
+		limit      int64
+		stream     string
+		events     int
+		err        error
+		least      int64
+		takesAtAll bool
+	}{
+		"short events take none":   {0, event(4000) + event(4000), 2, io.EOF, 0, false},
+		"a long one is taken":      {1 << 20, event(100_000), 1, io.EOF, 100_000, true},
+		"and returned":             {600_000, event(100_000) + event(100_000) + event(100), 3, io.EOF, 100_000, true},
+		"no memory is left":        {100_000, event(100) + event(100_000), 1, eventstream.ErrMemory, 20_000, true},
+		"no memory, and no end":    {100_000, "data: " + strings.Repeat("x", 200_000), 0, eventstream.ErrMemory, 20_000, true},
+		"no memory, in many lines": {100_000, strings.Repeat("data: x\n", 20_000), 0, eventstream.ErrMemory, 20_000, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &testMemory{limit: tt.limit}
+			r := eventstream.NewReader(strings.NewReader(tt.stream), m)
+			events := 0
+			_, err := r.Next()
+			for ; err == nil; _, err = r.Next() {
+				events++
+			}
+			is.True(errors.Is(err, tt.err))
+			is.Equal(events, tt.events)
+			is.True(m.peak >= tt.least)
+			is.Equal(m.peak > 0, tt.takesAtAll)
+			r.Release()
+			is.Equal(m.taken, int64(0))
+		})
+	}
+}
+
 // FuzzNext checks that the events that are read form a prefix of the stream, for any bytes that an upstream sends.
 func FuzzNext(f *testing.F) {
 	for _, seed := range []string{"", "id: 1\ndata: x\n\n", "id:\n\n\n", "data: \x00\r\n\r\n", "id: 99999999999999999999\n\n"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		r := eventstream.NewReader(strings.NewReader(string(stream)))
+		r := eventstream.NewReader(strings.NewReader(string(stream)), newMemory())
 		var read []byte
 		for {
 			e, err := r.Next()
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -25,9 +26,17 @@
 	keepAliveMargin = time.Second
 	// maxInterimResponses bounds the 1xx responses before the final one.
 	maxInterimResponses = 5
-	// maxHeadBytes bounds what is read until the response head is complete, including responses to earlier
-	// requests. Requests of callers may have heads of the same size.
+	// maxHeadBytes bounds what is read until the response head is complete. Requests of callers may have heads of the same
+	// size.
 	maxHeadBytes = 256 << 10
+	// freeHeadBytes is the part of a head that takes no memory by Request.Grow. Usual heads have some hundred bytes.
+	freeHeadBytes = 8 << 10
+	// headStepBytes is the part of a longer head that is read once the memory for it is taken: headMemoryFactor times as much, for
+	// the line, the header fields and their map.
+	headStepBytes    = 8 << 10
+	headMemoryFactor = 3
+	// maxSkippedBytes bounds the bodies of responses to earlier requests.
+	maxSkippedBytes = 256 << 10
 	// unbounded is the readBudget of a response body, whose reader bounds it.
 	unbounded = -1
 )
@@ -35,6 +44,8 @@
 var (
 	errTooManyInterim = eris.New("too many interim answers")
 	errHeadTooLarge   = eris.New("the head of the answer has no end")
+	errHeadMemory     = eris.New("no memory is left for the head of the answer")
+	errSkippedTooLong = eris.New("the answer to another request has no end")
 )
 
 type (
@@ -52,8 +63,11 @@
 		receiveBytes int
 		// widened is whether the receive buffer is enlarged.
 		widened bool
-		// readBudget is the number of bytes that may still be read.
-		readBudget int
+		// readBudget is the number of bytes that may still be read. budgetSpent is called when it is used up, and extends it or
+		// returns an error, which is kept in budgetErr: a reader may report the line that it cuts short in its place.
+		readBudget  int
+		budgetSpent func() error
+		budgetErr   error
 	}
 )
 
@@ -63,7 +77,9 @@
 		return k.Conn.Read(p)
 	}
 	if k.readBudget == 0 {
-		return 0, errHeadTooLarge
+		if k.budgetErr = k.budgetSpent(); k.budgetErr != nil {
+			return 0, k.budgetErr
+		}
 	}
 	n, err := k.Conn.Read(p[:min(len(p), k.readBudget)])
 	k.readBudget -= n
@@ -103,8 +119,8 @@
 			return nil, eris.Wrap(err, "read deadline")
 		}
 	}
-	k.readBudget = maxHeadBytes
 	for range maxUnmatchedResponses + 1 {
+		k.expectHead(r.Grow)
 		response, err := k.readFinalHead(r.HTTP)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, ErrNoResponse
@@ -116,6 +132,7 @@
 			k.readBudget = unbounded
 			return response, k.SetReadDeadline(time.Time{})
 		}
+		k.readBudget, k.budgetSpent = maxSkippedBytes, func() error { return errSkippedTooLong }
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, eris.Wrap(err, "answer to another request")
 		}
@@ -123,12 +140,30 @@
 	return nil, errTooManyUnmatched
 }
 
+// expectHead sets the budget for a response head, which takes memory by grow beyond freeHeadBytes. If grow is nil, the head is
+// not longer than that.
+func (k *conn) expectHead(grow func(int64) bool) {
+	read := freeHeadBytes
+	k.readBudget = read
+	k.budgetSpent = func() error {
+		if grow == nil || read >= maxHeadBytes {
+			return errHeadTooLarge
+		}
+		if !grow(headStepBytes * headMemoryFactor) {
+			return errHeadMemory
+		}
+		read += headStepBytes
+		k.readBudget = headStepBytes
+		return nil
+	}
+}
+
 // readFinalHead reads the head of a final response and skips interim (1xx) responses.
 func (k *conn) readFinalHead(r *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(k.reader, r)
 		if err != nil {
-			return nil, eris.Wrap(err, "answer")
+			return nil, eris.Wrap(cmp.Or(k.budgetErr, err), "answer")
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -210,7 +245,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		k := &conn{Conn: c, address: address, readBudget: maxHeadBytes, receiveBytes: o.receiveBytes}
+		k := &conn{Conn: c, address: address, receiveBytes: o.receiveBytes}
 		k.reader = bufio.NewReaderSize(k, readBufferBytes)
 		return k, nil
 	}
--- a/router/exchange/exchange.go
+++ b/router/exchange/exchange.go
@@ -61,6 +61,8 @@
 		HTTP *http.Request
 		// Matches reports whether a response belongs to this request. If nil, any response does.
 		Matches func(*http.Response) bool
+		// Grow takes memory for a long response head and reports whether it was left. If it is nil, heads are limited to 8 KiB.
+		Grow func(bytes int64) bool
 		// ConnectTimeout bounds the opening of a connection; zero sets no bound beyond the client's dial
 		// timeout.
 		ConnectTimeout time.Duration
@@ -123,7 +125,7 @@
 // such a failure, as a truncated one is malformed. Otherwise no matching response arrived in time or within
 // the limits on what is read.
 func isConnectionError(err error) bool {
-	for _, other := range []error{ErrNoResponse, errTooManyUnmatched, errTooManyInterim, errHeadTooLarge} {
+	for _, other := range []error{ErrNoResponse, errTooManyUnmatched, errTooManyInterim, errHeadTooLarge, errHeadMemory, errSkippedTooLong} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/router/exchange/exchange_test.go
+++ b/router/exchange/exchange_test.go
@@ -383,3 +383,67 @@
 		})
 	}
 }
+
+// Guards against a faulty server that fills the memory of the process with response heads that do not end.
+func TestLongHeadsTakeMemory(t *testing.T) {
+	head := func(bytes int) string {
+		return "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", bytes) + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	fields := "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 10_000) + "Content-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		response string
+		// left is the memory that is left, or negative if none may be taken.
+		left     int64
+		answered bool
+		// least and most bound the memory that is taken.
+		least, most int64
+	}{
+		"short head":                 {head(4000), -1, true, 0, 0},
+		"long head":                  {head(100_000), 1 << 20, true, 200_000, 400_000},
+		"long head, no memory":       {head(100_000), 50_000, false, 1, 50_000},
+		"many fields":                {fields, 1 << 20, true, 100_000, 400_000},
+		"many fields, no memory":     {fields, 50_000, false, 1, 50_000},
+		"long head without a budget": {head(100_000), -1, false, 0, 0},
+		"too long head":              {head(300_000), 4 << 20, false, 500_000, 1 << 20},
+		"no head, only a long line":  {strings.Repeat("x", 300_000), 4 << 20, false, 500_000, 1 << 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, respond(tt.response))
+			r, taken := get(s.address, ""), int64(0)
+			if tt.left >= 0 {
+				r.Grow = func(bytes int64) bool {
+					if taken+bytes > tt.left {
+						return false
+					}
+					taken += bytes
+					return true
+				}
+			}
+			c := exchange.NewClient()
+			switch a := c.Do(t.Context(), r).(type) {
+			case exchange.Answered:
+				is.True(tt.answered)
+				a.Body.Release()
+			case exchange.Unanswered:
+				is.True(!tt.answered)
+				is.True(!a.Disconnected) // the server does not count as crashed
+			default:
+				t.Fatalf("got %#v", a)
+			}
+			is.True(taken >= tt.least)
+			is.True(taken <= tt.most)
+		})
+	}
+}
+
+// A long body of a response to an earlier request is skipped without memory.
+func TestSkippedBodiesTakeNoMemory(t *testing.T) {
+	is := is.New(t)
+	earlier := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100000\r\n\r\n%s", strings.Repeat("x", 100_000))
+	s := serve(t, respond(earlier+"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok"))
+	body, err := readBody(exchange.NewClient().Do(t.Context(), get(s.address, "2")))
+	is.NoErr(err)
+	is.Equal(body, "ok")
+}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -23,6 +23,7 @@
 	errCallerDisconnected = eris.New("the caller left")
 	errEngineStatus       = eris.New("the engine failed")
 	errNoNumberedEvents   = eris.New("the stream has no numbered events")
+	errHeldMemory         = eris.New("no memory is left for the events after a gap")
 	errOtherMediaType     = eris.New("the answer that continues the stream has another media type")
 )
 
@@ -44,8 +45,9 @@
 		// mediaType is that of the answer whose head was sent.
 		mediaType string
 		// order places the numbered events. held are an open event and those without a number after it.
-		order *eventstream.Order
-		held  []eventstream.Event
+		order     *eventstream.Order
+		held      []eventstream.Event
+		heldBytes int64
 		// firstEventAt is when the first event was forwarded.
 		firstEventAt time.Time
 		// lastEventAt is when the last event was forwarded.
@@ -145,7 +147,8 @@
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
-	r.awaitsNumber, r.held, r.answerBeganAt = r.headSent, nil, time.Time{}
+	r.awaitsNumber, r.answerBeganAt = r.headSent, time.Time{}
+	r.releaseHeld()
 	r.order.BeginAnswer()
 	switch {
 	case !r.headSent:
@@ -155,7 +158,8 @@
 	case mediaType != r.mediaType:
 		return eris.Wrapf(errOtherMediaType, "%q", mediaType)
 	}
-	events := eventstream.NewReader(a.Body)
+	events := eventstream.NewReader(a.Body, r.activeRequest.memory)
+	defer events.Release()
 	for {
 		e, err := events.Next()
 		switch {
@@ -184,7 +188,7 @@
 // isConnectionLoss reports whether an error of forward means that the connection to the engine was lost, rather
 // than that the engine sent an invalid stream.
 func isConnectionLoss(err error) bool {
-	for _, invalid := range []error{errEventGap, errEventOrder, errNoNumberedEvents, errOtherMediaType, eventstream.ErrTooLong} {
+	for _, invalid := range []error{errEventGap, errEventOrder, errNoNumberedEvents, errOtherMediaType, errHeldMemory, eventstream.ErrTooLong, eventstream.ErrMemory} {
 		if errors.Is(err, invalid) {
 			return false
 		}
@@ -218,7 +222,10 @@
 		}
 	}
 	if r.order.IsOpen() {
-		r.held = append(r.held, e)
+		if !r.activeRequest.memory.Grow(int64(len(e.Raw))) {
+			return errHeldMemory
+		}
+		r.held, r.heldBytes = append(r.held, e), r.heldBytes+int64(len(e.Raw))
 		return nil
 	}
 	for _, h := range r.held {
@@ -226,10 +233,18 @@
 			return err
 		}
 	}
-	r.held = nil
+	r.releaseHeld()
 	return r.write(ctx, e)
 }
 
+// releaseHeld drops the held events.
+func (r *relay) releaseHeld() {
+	if r.heldBytes > 0 {
+		r.activeRequest.memory.Shrink(r.heldBytes)
+	}
+	r.held, r.heldBytes = nil, 0
+}
+
 // write sends an event to the caller. It returns an error if the caller has disconnected.
 func (r *relay) write(ctx context.Context, e eventstream.Event) error {
 	now := time.Now()
