Scenario: the ports of a process are free when it starts

The same was seen twice before and not traced. Cause: the fixture holds the ports of a process by listeners until it starts. A process that another test starts at the same moment has copies of them until it has executed its program. Change: the fixture closes the listeners and waits until their ports are free, while no process is started.

--- a/scenario/fleet/address.go
+++ b/scenario/fleet/address.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,6 +16,8 @@
 	// kernel does not assign a port to another socket between its release and the start of its process.
 	lowestPort  = 10_000
 	highestPort = 32_000
+	// releaseTimeout bounds the wait for processes that are being started.
+	releaseTimeout = 2 * time.Second
 )
 
 // listenOnFreePort listens on a free port of a host. It starts its search at a random port, so that fleets that
@@ -34,3 +37,31 @@
 	}
 	return nil, eris.Errorf("listen: no free port on %s", host)
 }
+
+// closeAll closes listeners and waits until their ports are free. A process that is being started has copies of them until it
+// executes its program; none is started meanwhile.
+func closeAll(listeners []net.Listener) error {
+	syscall.ForkLock.Lock()
+	defer syscall.ForkLock.Unlock()
+	var failed error
+	for _, l := range listeners {
+		failed = errors.Join(failed, l.Close())
+	}
+	for _, l := range listeners {
+		failed = errors.Join(failed, awaitFree(l.Addr().String()))
+	}
+	return failed
+}
+
+// awaitFree waits until a port is free. The caller holds ForkLock, so that no process gets a copy of the probing listener.
+func awaitFree(address string) error {
+	for limit := time.Now().Add(releaseTimeout); ; time.Sleep(time.Millisecond) {
+		l, err := net.Listen("tcp", address)
+		switch {
+		case err == nil:
+			return eris.Wrap(l.Close(), "release port")
+		case time.Now().After(limit):
+			return eris.Wrap(err, "release port")
+		}
+	}
+}
--- a/scenario/fleet/fleet.go
+++ b/scenario/fleet/fleet.go
@@ -246,9 +246,8 @@
 
 // releasePorts closes the listeners that reserve the ports of a process.
 func (f *Fleet) releasePorts(process string) {
-	for _, l := range f.reservedPorts[process] {
-		_ = l.Close()
-	}
+	// After an error, the process reports that it can't listen.
+	_ = closeAll(f.reservedPorts[process])
 	delete(f.reservedPorts, process)
 }
 
