Response: the end of a stream is that of the peer, not of a failed connection

Callers saw: a server answered a long upload at once with a 200, 201 or 500 without a length, sent 3,000 bytes and reset the connection while the upload was still being written. The part arrived as a complete answer.

Cause: the kernel reports the failure of a connection to one system call, and then forgets it. The upload is written by a goroutine of its own while the answer is read. If the write receives ECONNRESET, the read returns 0 bytes, which Go reports as io.EOF, and a body without a length ends there. The error of the write was looked at only to decide on the reuse of the connection.

Evidence: over plain sockets, with a reset 20 ms after the part, 190 of 200 reads ended in io.EOF while the write had ECONNRESET; in the other 10 the read had ECONNRESET. After an orderly end of the peer the write had EPIPE or went on, never ECONNRESET.

Change: response.Conn keeps the failure that a write has received. At the end of the stream, Read interrupts the writes, waits for the one in progress and returns that failure. As the kernel gives it to exactly one call, it is known by then whenever it was not given to the read itself. EPIPE is no failure of the answer: the peer's end of stream had arrived before. The upload ended with the answer before as well.

The fleet's own protocol is HTTP/2, whose frames mark the end.

--- a/router/adapter/engine/engine.go
+++ b/router/adapter/engine/engine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -37,7 +38,7 @@
 // NewClient returns a client of the engine at an IP:port. The client sends orderKey as a bearer token with orders only.
 func NewClient(address, orderKey string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: http.DefaultMaxIdleConnsPerHost}
+	transport := response.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: http.DefaultMaxIdleConnsPerHost})
 	return &Client{base: "http://" + address, orderKey: orderKey, http: &http.Client{Transport: transport}}
 }
 
--- a/router/adapter/service/service.go
+++ b/router/adapter/service/service.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/port"
+	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -34,7 +35,7 @@
 // NewClient returns a client that neither follows redirects nor resends calls.
 func NewClient() *Client {
 	return &Client{client: &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
+		Transport:     response.NewTransport(&http.Transport{DisableKeepAlives: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/router/adapter/service/service_test.go
+++ b/router/adapter/service/service_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -81,3 +83,28 @@
 	}
 	return ""
 }
+
+// Guards against a part of an answer that counts as a whole one: the service answers a long call at once, without a length, and
+// resets the connection while the call is still being written.
+func TestAnswerThatIsResetDuringItsCallIsLost(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "after 2 ms": 2 * time.Millisecond, "after 60 ms": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(pause)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}))
+			defer server.Close()
+			for range 16 {
+				call := port.ServiceCall{Path: "/run", Body: make([]byte, 8<<20), IdempotencyKey: "k"}
+				is.New(t).Equal(describe(service.NewClient().Call(t.Context(), server.Listener.Addr().String(), call)), "lost")
+			}
+		})
+	}
+}
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -17,6 +17,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -51,7 +53,7 @@
 type (
 	// conn is one connection to an upstream. It serves one request at a time.
 	conn struct {
-		net.Conn
+		*response.Conn
 		address string
 		reader  *bufio.Reader
 		// expires is when an idle connection is no longer used; zero if unknown.
@@ -201,7 +203,7 @@
 // isOpenAndIdle reports whether an idle connection is open and has nothing to read. Bytes that arrive without
 // an outstanding request belong to none.
 func (k *conn) isOpenAndIdle() bool {
-	s, ok := k.Conn.(syscall.Conn)
+	s, ok := k.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -245,7 +247,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		k := &conn{Conn: c, address: address, receiveBytes: o.receiveBytes}
+		k := &conn{Conn: response.NewConn(c), address: address, receiveBytes: o.receiveBytes}
 		k.reader = bufio.NewReaderSize(k, readBufferBytes)
 		return k, nil
 	}
@@ -289,7 +291,7 @@
 
 // setReceiveBuffer sets the receive buffer of an open connection whose buffers are set. An error leaves it as it is.
 func (k *conn) setReceiveBuffer(bytes int) {
-	if c, ok := k.Conn.(*net.TCPConn); ok && k.receiveBytes > 0 {
+	if c, ok := k.NetConn().(*net.TCPConn); ok && k.receiveBytes > 0 {
 		_ = c.SetReadBuffer(bytes)
 		k.widened = bytes > k.receiveBytes
 	}
