Response: a status below 100 is no response

Callers saw: a server in trouble sent an answer whose status was 000. Behind the platform's entry the head itself was not passed on, but a 200 that followed it on the connection was. Behind the sidecar of a plain service callers got status 0, or 99, as the service's answer; an engine's order answered with 000 counted as carried out.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads as a number for a status, "000" and "+20" included. The reader of exchange took all below 200 for interim responses and read on. Clients over net/http got the number, and compared it with 300 or 400 only.

Status 000 alone, 00 and texts that are no number were 502 already: their cases stay.

Statuses from 600 on are passed on as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"gooseberrypin.example/router/lease"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/request"
+	"gooseberrypin.example/router/response"
 	"gooseberrypin.example/router/retry"
 	"gooseberrypin.example/router/route"
 	"gooseberrypin.example/router/subscription"
@@ -165,7 +166,7 @@
 	e.runner = generation.NewRunner(e.sidecars, e.route, e.holdings, e.crashes,
 		retry.NewBudget(retryFraction, retry.WithBurst(retryBurst)), generation.WithLog(e.log))
 	e.reader = subscription.NewReader(s.VM, s.DataCentre,
-		platform.NewClient(s.PlatformAddress, http.DefaultClient), peer.NewClient(e.http),
+		platform.NewClient(s.PlatformAddress, response.NewClient()), peer.NewClient(e.http),
 		e.store, e.vms, newRandom(e.random.Uint64()), e.log,
 		subscription.WithSeeds(s.PeerAddresses...), subscription.WithPlatformOnly(e.naive[naivePeers]))
 }
--- a/gooseberryctl/dump.go
+++ b/gooseberryctl/dump.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -61,14 +63,14 @@
 	if key := operatorKey(); key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
-	response, err := http.DefaultClient.Do(r)
+	answer, err := response.NewClient().Do(r)
 	if err != nil {
 		return nil, eris.Wrap(err, address)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return nil, eris.Errorf("%s: status %s", address, response.Status)
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return nil, eris.Errorf("%s: status %s", address, answer.Status)
 	}
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(answer.Body)
 	return content, eris.Wrap(err, address)
 }
--- a/gooseberryctl/explain.go
+++ b/gooseberryctl/explain.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/configuration"
+	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -117,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	client := platform.NewClient(c.Platform, http.DefaultClient)
+	client := platform.NewClient(c.Platform, response.NewClient())
 	manifest, err := client.Manifest(ctx, 0, 0)
 	if err != nil {
 		return nil, err
--- a/gooseberryctl/explain_entry.go
+++ b/gooseberryctl/explain_entry.go
@@ -17,6 +17,7 @@
 	"gooseberrypin.example/router/access"
 	"gooseberrypin.example/router/adapter/explain"
 	"gooseberrypin.example/router/gateway"
+	"gooseberrypin.example/router/response"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -116,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	a, err := explain.Ask(ctx, http.DefaultClient, address, q)
+	a, err := explain.Ask(ctx, response.NewClient(), address, q)
 	if err != nil {
 		return err
 	}
--- a/router/adapter/service/service_test.go
+++ b/router/adapter/service/service_test.go
@@ -42,6 +42,10 @@
 			},
 			want: "answered 308 ", runs: 2,
 		},
+		"without a length": {answer: rawAnswer("HTTP/1.1 200 OK\r\n\r\ndone"), body: "{}", want: "answered 200 done", runs: 2},
+		"status 000":       {answer: rawAnswer("HTTP/1.1 000 Trouble\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
+		"status 099":       {answer: rawAnswer("HTTP/1.1 099 Trouble\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
+		"status 101":       {answer: rawAnswer("HTTP/1.1 101 Switching Protocols\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -63,6 +67,18 @@
 	}
 }
 
+// rawAnswer returns a handler that writes an answer byte for byte and closes the connection.
+func rawAnswer(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, raw)
+		_ = c.Close()
+	}
+}
+
 func TestCallNotSent(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -163,12 +163,15 @@
 // readFinalHead reads the head of a final response and skips interim (1xx) responses.
 func (k *conn) readFinalHead(r *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
-		response, err := http.ReadResponse(k.reader, r)
+		a, err := http.ReadResponse(k.reader, r)
+		if err == nil {
+			err = response.CheckHead(a)
+		}
 		if err != nil {
 			return nil, eris.Wrap(cmp.Or(k.budgetErr, err), "answer")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if a.StatusCode >= http.StatusOK {
+			return a, nil
 		}
 	}
 	return nil, errTooManyInterim
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	"gooseberrypin.example/router/event"
 	"gooseberrypin.example/router/port"
 	"gooseberrypin.example/router/quarantine"
+	"gooseberrypin.example/router/response"
 	"gooseberrypin.example/router/subscription"
 	"gooseberrypin.example/router/vm"
 	"gooseberrypin.example/sidecar/engine"
@@ -83,7 +84,7 @@
 		started:  time.Now(),
 		keys:     access.NewKeys(s.FleetKeys...),
 		engine:   engineclient.NewClient(s.UpstreamAddress, s.OrderKey),
-		platform: platform.NewClient(s.PlatformAddress, http.DefaultClient),
+		platform: platform.NewClient(s.PlatformAddress, response.NewClient()),
 		store:    configuration.NewStore(),
 		vms:      vm.NewTable(),
 		suspects: quarantine.NewTable(),
