Response: a head with a name that is no token is no response

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank, within it, before its colon or at its begin. Clients of an entry got it as a 200, with the line passed on; with "Content-Length :" or "Transfer-Encoding :" they got bytes beyond the length, or chunk lines, as the body. The sidecar of a plain service returned the same bodies. A line that began with a blank was appended to the value before it.

Cause: http.ReadResponse accepts spaces in names. It stores such a field under the name with the space, so that nothing that gives the body its length looks at it, and it takes a line with a leading space for the folded rest of a value, of which the parsed head shows nothing. The package that writes requests checks names; the one that reads responses does not.

Control bytes, a NUL, DEL, CR, bytes over 127, empty names, separators and a tab within a name or before the colon were 502 already: their cases stay.

Change: response.Conn checks the names as the bytes of a head are read, up to the end of the final head, so interim heads and folded lines are seen as well. exchange and response.NewTransport begin the check for each response and refuse it after parsing, beside the status. A folded line is refused, as RFC 9112 allows a gateway: it can't be told from a name that begins with a blank.

--- a/router/adapter/engine/engine_test.go
+++ b/router/adapter/engine/engine_test.go
@@ -18,10 +18,11 @@
 		head string
 		ok   bool
 	}{
-		"sound":      {"HTTP/1.1 200 OK\r\n", true},
-		"status 000": {"HTTP/1.1 000 Trouble\r\n", false},
-		"status 099": {"HTTP/1.1 099 Trouble\r\n", false},
-		"status 101": {"HTTP/1.1 101 Switching Protocols\r\n", false},
+		"sound":           {"HTTP/1.1 200 OK\r\n", true},
+		"status 000":      {"HTTP/1.1 000 Trouble\r\n", false},
+		"status 099":      {"HTTP/1.1 099 Trouble\r\n", false},
+		"status 101":      {"HTTP/1.1 101 Switching Protocols\r\n", false},
+		"blank in a name": {"HTTP/1.1 200 OK\r\nA b: c\r\n", false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/router/adapter/service/service_test.go
+++ b/router/adapter/service/service_test.go
@@ -45,7 +45,15 @@
 		"without a length": {answer: rawAnswer("HTTP/1.1 200 OK\r\n\r\ndone"), body: "{}", want: "answered 200 done", runs: 2},
 		"status 000":       {answer: rawAnswer("HTTP/1.1 000 Trouble\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
 		"status 099":       {answer: rawAnswer("HTTP/1.1 099 Trouble\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
-		"status 101":       {answer: rawAnswer("HTTP/1.1 101 Switching Protocols\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
+		"chunks, with a blank before the colon": {
+			answer: rawAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"),
+			body:   "{}", want: "lost", runs: 2,
+		},
+		"length, with a blank before the colon": {
+			answer: rawAnswer("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ndonemore"),
+			body:   "{}", want: "lost", runs: 2,
+		},
+		"status 101": {answer: rawAnswer("HTTP/1.1 101 Switching Protocols\r\n\r\ndone"), body: "{}", want: "lost", runs: 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -162,10 +162,13 @@
 
 // readFinalHead reads the head of a final response and skips interim (1xx) responses.
 func (k *conn) readFinalHead(r *http.Request) (*http.Response, error) {
+	// Bytes that are buffered can be peeked at without an error.
+	buffered, _ := k.reader.Peek(k.reader.Buffered())
+	k.ExpectHead(buffered)
 	for range maxInterimResponses {
 		a, err := http.ReadResponse(k.reader, r)
 		if err == nil {
-			err = response.CheckHead(a)
+			err = k.CheckHead(a)
 		}
 		if err != nil {
 			return nil, eris.Wrap(cmp.Or(k.budgetErr, err), "answer")
--- a/router/response/conn.go
+++ b/router/response/conn.go
@@ -2,9 +2,11 @@
 package response
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -17,8 +19,13 @@
 	// Conn is a connection whose end of stream is always that of its peer. The kernel reports the failure of a connection to one
 	// call only. If a concurrent write receives it, reads return io.EOF, and the part of a response without a length that has
 	// arrived looks complete. Read returns the failure in that case too.
+	//
+	// Conn also checks the heads of responses. ExpectHead begins, and CheckHead reports the result.
 	Conn struct {
 		net.Conn
+		// mu guards head.
+		mu   sync.Mutex
+		head headScanner
 		// writing is held during a write.
 		writing sync.Mutex
 		// failure is the error with which the connection failed in a write.
@@ -50,6 +57,7 @@
 // Read implements io.Reader. At the end of the stream it ends the writes, as their outcome decides how the connection ended.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scan(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -59,6 +67,28 @@
 	return n, err
 }
 
+// ExpectHead begins the check of a response head, with the interim ones before it. The bytes of it that were read already are
+// buffered.
+func (c *Conn) ExpectHead(buffered []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScanner{state: scanProtocol}
+	c.head.scan(buffered)
+}
+
+// CheckHead returns an error for a response, with the head that was read last, if http.ReadResponse accepts it although it is broken.
+func (c *Conn) CheckHead(a *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(checkStatus(a), c.head.err)
+}
+
+func (c *Conn) scan(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.scan(p)
+}
+
 // endWrites interrupts a write that waits for the peer, and returns the failure of the connection that a write has received.
 func (c *Conn) endWrites() error {
 	// An error means that the connection is closed, which ends writes as well.
--- a/router/response/transport.go
+++ b/router/response/transport.go
@@ -4,6 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	errConn = eris.New("response over a connection that does not check heads")
 )
 
 type (
@@ -14,7 +21,7 @@
 )
 
 // NewTransport returns a round tripper that reads its responses over connections of type Conn and checks their heads. It takes over
-// t, which must not be used otherwise.
+// t, which must not be used otherwise, for HTTP/1.1 without TLS.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -41,14 +48,33 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	a, err := t.next.RoundTrip(r)
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*Conn); ok {
+			c.ExpectHead(nil)
+			conn = c
+		}
+	}}
+	a, err := t.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(a); err != nil {
-		// Closing a body that was not read to its end closes the connection.
+	if err := check(conn, a); err != nil {
 		_ = a.Body.Close()
 		return nil, err
 	}
 	return a, nil
 }
+
+// check checks a response that was read over a connection, and closes the connection if it is broken. It may be idle already, but
+// what follows such a response is no other one.
+func check(c *Conn, a *http.Response) error {
+	if c == nil {
+		return errConn
+	}
+	err := c.CheckHead(a)
+	if err != nil {
+		_ = c.Close()
+	}
+	return err
+}
--- a/router/response/transport_test.go
+++ b/router/response/transport_test.go
@@ -48,6 +48,15 @@
 		"status 099":                      {"HTTP/1.1 099 Trouble\r\n", false},
 		"status +20":                      {"HTTP/1.1 +20 Trouble\r\n", false},
 		"status 101 without a request":    {"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n", false},
+		"blank in a name":                 {"HTTP/1.1 200 OK\r\nA b: c\r\n", false},
+		"blank before a colon":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", false},
+		"blank at the begin of a name":    {"HTTP/1.1 200 OK\r\nA: b\r\n Transfer-Encoding: chunked\r\n", false},
+		"the same after an interim":       {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n Transfer-Encoding: chunked\r\n", false},
+		"lines that end with LF alone":    {"HTTP/1.1 200 OK\nA: b\n", true},
+		"no field":                        {"HTTP/1.1 200 OK\r\n", true},
+		"control byte in a name":          {"HTTP/1.1 200 OK\r\nA\x01b: c\r\n", false},
+		"blank in a name of an interim":   {"HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n", false},
+		"all characters of a name":        {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n", true},
 		"status 000 after an interim one": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n", false},
 	}
 	for name, tt := range tests {
