--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -164,7 +164,7 @@
 func (k *conn) readFinalHead(r *http.Request) (*http.Response, error) {
 	// Bytes that are buffered can be peeked at without an error.
 	buffered, _ := k.reader.Peek(k.reader.Buffered())
-	k.ExpectHead(buffered)
+	k.BeginHead(buffered)
 	for range maxInterimResponses {
 		a, err := http.ReadResponse(k.reader, r)
 		if err == nil {
--- a/router/response/conn.go
+++ b/router/response/conn.go
@@ -20,7 +20,7 @@
 	// call only. If a concurrent write receives it, reads return io.EOF, and the part of a response without a length that has
 	// arrived looks complete. Read returns the failure in that case too.
 	//
-	// Conn also checks the heads of responses. ExpectHead begins, and CheckHead reports the result.
+	// Conn also checks the heads of responses, from BeginHead to CheckHead.
 	Conn struct {
 		net.Conn
 		// mu guards head.
@@ -67,9 +67,8 @@
 	return n, err
 }
 
-// ExpectHead begins the check of a response head, with the interim ones before it. The bytes of it that were read already are
-// buffered.
-func (c *Conn) ExpectHead(buffered []byte) {
+// BeginHead begins the check of a response head, with the interim ones before it. Buffered are the bytes of it that were read already.
+func (c *Conn) BeginHead(buffered []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = headScanner{state: scanProtocol}
--- a/router/response/transport.go
+++ b/router/response/transport.go
@@ -51,7 +51,7 @@
 	var conn *Conn
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*Conn); ok {
-			c.ExpectHead(nil)
+			c.BeginHead(nil)
 			conn = c
 		}
 	}}
