Response: a test of write errors without a network

Cause: what a write error says of the end of a stream was shown over real connections only, which can't bring about ETIMEDOUT. Change: a table over a fake connection.

--- a/router/response/conn_test.go
+++ b/router/response/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +14,14 @@
 	"gooseberrypin.example/router/response"
 )
 
+type (
+	// failedConn is a connection whose failure was reported to a write.
+	failedConn struct {
+		net.Conn
+		writeErr error
+	}
+)
+
 const (
 	// longUploadBytes is more than the socket buffers take.
 	longUploadBytes = 8 << 20
@@ -88,3 +97,38 @@
 		})
 	}
 }
+
+func (c failedConn) Write([]byte) (int, error)        { return 0, c.writeErr }
+func (c failedConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c failedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func TestEndOfStreamAfterWriteError(t *testing.T) {
+	tests := map[string]struct {
+		writeErr error
+		whole    bool
+	}{
+		"reset by the peer":                  {syscall.ECONNRESET, false},
+		"peer that acknowledges nothing":     {syscall.ETIMEDOUT, false},
+		"reset after the end of the stream":  {syscall.EPIPE, true},
+		"interrupted at the end of a stream": {os.ErrDeadlineExceeded, true},
+		"closed here":                        {net.ErrClosed, true},
+		"no error of a write":                {nil, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var writeErr error
+			if tt.writeErr != nil {
+				writeErr = &net.OpError{Op: "write", Err: tt.writeErr}
+			}
+			c := response.NewConn(failedConn{writeErr: writeErr})
+			_, err := c.Write([]byte("upload"))
+			is.True(errors.Is(err, tt.writeErr))
+			for range 2 {
+				_, err = c.Read(make([]byte, 1))
+				is.Equal(errors.Is(err, io.EOF), tt.whole)
+				is.True(tt.whole || errors.Is(err, tt.writeErr))
+			}
+		})
+	}
+}
