Gooseberryctl: all commands share one HTTP client

Cause: since each request of a command made a client of its own. "status" asks all processes of a fleet, so it would have kept an idle connection for each, where the shared default client before kept 100 in all. Change: one client for the package. Found by reading; no test, as it changes no answer.

--- a/gooseberryctl/dump.go
+++ b/gooseberryctl/dump.go
@@ -17,6 +17,11 @@
 	operatorKeyVariable = "GOOSEBERRY_OPERATOR_KEY"
 )
 
+var (
+	// httpClient is the client of all commands, which bounds their idle connections together.
+	httpClient = response.NewClient()
+)
+
 type (
 	// DumpCommand prints the state dump of a process.
 	DumpCommand struct {
@@ -63,7 +68,7 @@
 	if key := operatorKey(); key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
-	answer, err := response.NewClient().Do(r)
+	answer, err := httpClient.Do(r)
 	if err != nil {
 		return nil, eris.Wrap(err, address)
 	}
--- a/gooseberryctl/explain.go
+++ b/gooseberryctl/explain.go
@@ -8,7 +8,6 @@
 
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/configuration"
-	"gooseberrypin.example/router/response"
 )
 
 const (
@@ -117,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	client := platform.NewClient(c.Platform, response.NewClient())
+	client := platform.NewClient(c.Platform, httpClient)
 	manifest, err := client.Manifest(ctx, 0, 0)
 	if err != nil {
 		return nil, err
--- a/gooseberryctl/explain_entry.go
+++ b/gooseberryctl/explain_entry.go
@@ -17,7 +17,6 @@
 	"gooseberrypin.example/router/access"
 	"gooseberrypin.example/router/adapter/explain"
 	"gooseberrypin.example/router/gateway"
-	"gooseberrypin.example/router/response"
 	"gooseberrypin.example/router/upstream"
 )
 
@@ -117,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	a, err := explain.Ask(ctx, response.NewClient(), address, q)
+	a, err := explain.Ask(ctx, httpClient, address, q)
 	if err != nil {
 		return err
 	}
--- a/gooseberryctl/fleet.go
+++ b/gooseberryctl/fleet.go
@@ -17,7 +17,6 @@
 	"gooseberrypin.example/router/adapter/operator"
 	"gooseberrypin.example/router/adapter/platform"
 	"gooseberrypin.example/router/configuration"
-	"gooseberrypin.example/router/response"
 	"gooseberrypin.example/router/subscription"
 	"gooseberrypin.example/router/vm"
 )
@@ -78,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	content, err := platform.NewClient(s.Platform, response.NewClient()).VMs(ctx, 0, 0)
+	content, err := platform.NewClient(s.Platform, httpClient).VMs(ctx, 0, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +111,7 @@
 	if s.Platform == "" {
 		return 0
 	}
-	content, err := platform.NewClient(s.Platform, response.NewClient()).Manifest(ctx, 0, 0)
+	content, err := platform.NewClient(s.Platform, httpClient).Manifest(ctx, 0, 0)
 	if err != nil {
 		return 0
 	}
