review: case 12, a restarted process trusts a revoked key after a list with stale pages

Cause: the position of a list is the revision of its first page, also if later pages are from before it.

--- a/review/rig-3/plain.go
+++ b/review/rig-3/plain.go
@@ -15,14 +15,16 @@
 		service string
 		born    int64
 		handle  func(p *plain, w http.ResponseWriter, q *http.Request)
+		server  *http.Server
 	}
 )
 
 // startPlain starts a server and registers it.
 func (r *rig) startPlain(service string, handle func(p *plain, w http.ResponseWriter, q *http.Request)) *plain {
 	l := listen("127.0.0.1:0")
-	p := &plain{rig: r, id: fmt.Sprintf("i-plain-%d", incarnations.Add(1)), address: l.Addr().String(), service: service, born: time.Now().UnixMilli(), handle: handle}
-	go func() { _ = http.Serve(l, p) }()
+	p := &plain{rig: r, id: fmt.Sprintf("i-plain-%02d", incarnations.Add(1)), address: l.Addr().String(), service: service, born: time.Now().UnixMilli(), handle: handle}
+	p.server = &http.Server{Handler: p}
+	go func() { _ = p.server.Serve(l) }()
 	p.register("ready")
 	return p
 }
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -13,7 +13,7 @@
 )
 
 type (
-	// store is a stand-in of the platform's store: reads, lists in one page, watches, and a drill.
+	// store is a stand-in of the platform's store: reads, lists in pages, watches, and a drill.
 	store struct {
 		mu       sync.Mutex
 		era      int64
@@ -23,6 +23,17 @@
 		changed  chan struct{}
 		away     bool
 		address  string
+		// pageItems is the number of items of a page; 0 puts all into one.
+		pageItems int
+		// staleFor is how old the pages after the first one are in reads that allow it. versions are the states for that.
+		staleFor time.Duration
+		versions []version
+	}
+
+	// version is the state of the store since a time.
+	version struct {
+		since time.Time
+		copied
 	}
 
 	item struct {
@@ -69,6 +80,7 @@
 		delete(s.items, i.Key)
 	}
 	s.history = append(s.history, i)
+	s.versions = append(s.versions, version{time.Now(), copied{s.revision, maps.Clone(s.items), nil}})
 	s.notify()
 }
 
@@ -108,9 +120,17 @@
 	limit := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		changed, era, revision, away := s.changed, s.era, s.revision, s.away
+		changed, era, revision, away, items := s.changed, s.era, s.revision, s.away, s.items
+		if r.URL.Path == "/kv-range" && q.Get("allowStale") == "1" && q.Get("after") != "" && s.staleFor > 0 {
+			for _, v := range s.versions {
+				if time.Since(v.since) >= s.staleFor {
+					revision, items = v.revision, v.items
+				}
+			}
+		}
+		pageItems := s.pageItems
 		var list []item
-		for _, i := range s.items {
+		for _, i := range items {
 			if strings.HasPrefix(i.Key, q.Get("pathPrefix")) && i.Key > q.Get("after") {
 				list = append(list, i)
 			}
@@ -129,7 +149,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case r.URL.Path == "/kv-range":
-			writeJSON(w, map[string]any{"items": list, "hasMore": false, "at": revision})
+			hasMore := pageItems > 0 && len(list) > pageItems
+			if hasMore {
+				list = list[:pageItems]
+			}
+			writeJSON(w, map[string]any{"items": list, "hasMore": hasMore, "at": revision})
 			return
 		case r.URL.Path != "/kv-watch":
 			w.WriteHeader(http.StatusNotFound)
