review: free ports of the rig are outside those that the kernel gives to connections

Cause: in 1 of 25 runs beside others, an address was taken before an entry listened, and the case could not run (exit 2). Change: addresses on a loopback host of the rig's own, with low ports.

--- a/review/rig-3/entry.go
+++ b/review/rig-3/entry.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -89,10 +91,19 @@
 	os.Exit(code)
 }
 
+var ports atomic.Int64
+
+// freePort returns a loopback address for a process that starts later. Its host is that of this process alone, and its port is below
+// those that the kernel gives to connections.
 func freePort() string {
-	l := listen("127.0.0.1:0")
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	host := fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255)
+	for {
+		address := fmt.Sprintf("%s:%d", host, 10_000+ports.Add(1))
+		if l, err := net.Listen("tcp4", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
 }
 
 // addEntries adds a number of entries, which know each other as seeds.
