--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -35,7 +35,11 @@
 
 var attempts atomic.Int64
 
-const hostName = "ficu95.example"
+const (
+	hostName = "ficu95.example"
+	// keptKey is the key of the tenant, which requests have unless they name another one.
+	keptKey = "key-that-stays"
+)
 
 func newID() string {
 	return fmt.Sprintf("%016x", time.Now().UnixNano()&0xffffffffff00|attempts.Add(1)<<40)
@@ -47,6 +51,9 @@
 	for _, f := range q.fields {
 		b.WriteString(f + "\r\n")
 	}
+	if !strings.Contains(strings.Join(q.fields, "\n"), "X-Api-Key:") {
+		b.WriteString("X-Api-Key: " + keptKey + "\r\n")
+	}
 	if q.body != "" || q.method == "POST" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
--- a/review/rig-3/copies.go
+++ b/review/rig-3/copies.go
@@ -78,7 +78,7 @@
 	r := newRig(folder)
 	page := plainRoute("idempotent", 1500)
 	page["name"], page["pathPrefix"] = "r-page", "/cufi504/"
-	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{plainRoute("non_idempotent", 1500), page}, "services": []any{plainService()}, "limits": limits()})
+	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{plainRoute("non_idempotent", 1500), page}, "services": []any{plainService()}, "limits": limits(), "tenants": tenants(keptKey)})
 	var mu sync.Mutex
 	crashes, late := map[string]int{}, map[string]int{}
 	third, sentAt := map[string]time.Time{}, map[string]time.Time{}
--- a/review/rig-3/entry.go
+++ b/review/rig-3/entry.go
@@ -54,7 +54,7 @@
 	check(err)
 	f, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	check(err)
-	r := &rig{dir: tmp, store: startStore(), record: f, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", extra: map[string]any{}, starts: make(chan start)}
+	r := &rig{dir: tmp, store: startStore(), record: f, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", extra: strictKeys(), starts: make(chan start)}
 	go func() {
 		runtime.LockOSThread()
 		for s := range r.starts {
@@ -115,7 +115,7 @@
 	}
 }
 
-// start starts the process. The settings are those that deploy/settings.json gives for a machine of the small site.
+// start starts the process. The settings are those that deploy/settings.json gives for the smallest machine of tormays-intake-grown.
 func (e *entry) start() {
 	r := e.rig
 	var seeds []string
@@ -125,8 +125,8 @@
 	s := map[string]any{
 		"name": e.name, "region": "sul", "data_centre": e.name[:len(e.name)-2], "caller_address": e.caller, "ready_address": e.ready,
 		"control_address": e.control, "metrics_address": e.metrics, "store_address": r.store.address, "peer_addresses": seeds,
-		"bootstrap": e.bootstrap, "prefill_share": 0.16, "placement": map[string]any{"uneven_factor": 1.5}, "memory_mb": 134,
-		"config_deadline_ms": 2000, "drain_ms": 2000, "grace_s": 8, "retry": map[string]any{"ratio": 0.2, "window_s": 10, "slack": 52},
+		"bootstrap": e.bootstrap, "prefill_share": 0.16, "placement": map[string]any{"uneven_factor": 1.5}, "memory_mb": 112,
+		"config_deadline_ms": 2000, "drain_ms": 2000, "grace_s": 8, "retry": map[string]any{"ratio": 0.2, "window_s": 10, "slack": 84},
 	}
 	for k, v := range r.extra {
 		s[k] = v
--- a/review/rig-3/ids.go
+++ b/review/rig-3/ids.go
@@ -16,7 +16,7 @@
 func ids(folder string) {
 	r := newRig(folder)
 	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{streamRoute(1, false), plainRoute("idempotent", 1500)},
-		"services": []any{engineService(), plainService()}, "limits": limits()})
+		"services": []any{engineService(), plainService()}, "limits": limits(), "tenants": tenants(keptKey)})
 	seen := func(e *engine, p report) {
 		r.note("engine "+p.What, "id", e.id, "attempt", p.Attempt, "text", p.Text)
 	}
--- a/review/rig-3/nodeadline.go
+++ b/review/rig-3/nodeadline.go
@@ -15,7 +15,7 @@
 	r := newRig(folder)
 	const work, timeout = 33 * time.Second, 60 * time.Second
 	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{plainRoute("non_idempotent", int(timeout.Milliseconds()))},
-		"services": []any{plainService()}, "limits": limits()})
+		"services": []any{plainService()}, "limits": limits(), "tenants": tenants(keptKey)})
 	var mu sync.Mutex
 	ran := map[string]bool{}
 	for range 3 {
--- a/review/rig-3/part.go
+++ b/review/rig-3/part.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	contact = 3 * time.Second
+	contact = 4 * time.Second
 	// deadly is the part of a prompt that crashes each server that begins to write an answer on it.
 	deadly = "dead0001"
 )
@@ -18,7 +18,7 @@
 // FRAMING=chunked gives them chunks instead. A server that crashes is a process that is killed; it is back after 2 s.
 func part(folder string) {
 	r := newRig(folder)
-	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{streamRoute(1, false)}, "services": []any{engineService()}, "limits": limits()})
+	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{streamRoute(1, false)}, "services": []any{engineService()}, "limits": limits(), "tenants": tenants(keptKey)})
 	framing := "none"
 	if f := os.Getenv("FRAMING"); f != "" {
 		framing = f
--- a/review/rig-3/slowread.go
+++ b/review/rig-3/slowread.go
@@ -13,12 +13,12 @@
 )
 
 // slowread plays clients that read slowly while model servers are emptied: they read the beginning of their streams, nothing for
-// 6 s, and then the rest. Meanwhile 2 of 9 servers report that they are draining; they serve for drainMs and 1.5 s more, and end.
+// 7 s, and then the rest. Meanwhile 1 of 9 servers reports that it is draining; it serves for drainMs and 1.5 s more, and ends.
 // With TROUBLE=0 the clients read at once.
 func slowread(folder string) {
 	r := newRig(folder)
-	const drain, longer, pause = 2 * time.Second, 1500 * time.Millisecond, 6 * time.Second
-	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{streamRoute(2, true)}, "services": []any{engineService()}, "limits": limits()})
+	const drain, longer, pause = 3 * time.Second, 1500 * time.Millisecond, 7 * time.Second
+	r.store.put("op/config", map[string]any{"version": 7, "routes": []any{streamRoute(2, true)}, "services": []any{engineService()}, "limits": limits(), "tenants": tenants(keptKey)})
 	var mu sync.Mutex
 	var leaving []*engine
 	drained := map[string]time.Time{}
@@ -34,14 +34,14 @@
 	}
 	engines := r.startEngines([]string{"-events", "0", "-size", "2000"}, seen, nil)
 	for _, e := range engines {
-		if e.phase == "decode" && len(leaving) < 2 {
+		if e.phase == "decode" && len(leaving) < 1 {
 			leaving = append(leaving, e)
 		}
 	}
 	r.addEntries(3)
 	r.startAll()
 	var clients sync.WaitGroup
-	for n := range 700 {
+	for n := range 900 {
 		time.Sleep(30 * time.Millisecond)
 		q := generation(n, fmt.Sprintf("a11a0001:200,%08x:650", n), "850,24")
 		clients.Go(func() { _ = q.sendNew(r.entries[n%3].caller) })
@@ -49,7 +49,7 @@
 	clients.Wait()
 	r.note("the clients begin")
 	whole, broken := 0, 0
-	for n := range 18 {
+	for n := range 30 {
 		clients.Go(func() {
 			e := r.entries[n%3]
 			q := generation(1000+n, fmt.Sprintf("a11a0001:200,%08x:650", 1000+n), "850,720")
--- a/review/rig-3/stale.go
+++ b/review/rig-3/stale.go
@@ -11,12 +11,11 @@
 // list has two pages; in reads that allow it, the second page is 2.5 s old. With TROUBLE=0 no process is restarted.
 func stale(folder string) {
 	r := newRig(folder)
-	r.extra = strictKeys()
 	for n := range 600 {
 		r.store.put(fmt.Sprintf("jobs/%04d", n), map[string]any{"job": n})
 	}
 	r.store.pageItems, r.store.staleFor = 500, 2500*time.Millisecond
-	const taken, kept = "key-that-is-taken-away", "key-that-stays"
+	const taken, kept = "key-that-is-taken-away", keptKey
 	r.configureKeys(7, taken, kept)
 	runs := newRuns(r)
 	for range 3 {
@@ -44,6 +43,11 @@
 	runs.judge(taken, revoked)
 }
 
+// tenants are the tenants of a configuration: one with these keys.
+func tenants(keys ...string) []any {
+	return []any{map[string]any{"name": "insurer", "apiKeys": keys, "priority": 1}}
+}
+
 // strictKeys are the settings that a site with strictRevoke adds.
 func strictKeys() map[string]any {
 	return map[string]any{
@@ -55,7 +59,7 @@
 // configureKeys writes a version of the configuration in which a tenant has these keys.
 func (r *rig) configureKeys(version int, keys ...string) {
 	r.store.put("op/config", map[string]any{"version": version, "routes": []any{plainRoute("non_idempotent", 3000)}, "services": []any{plainService()},
-		"limits": limits(), "tenants": []any{map[string]any{"name": "insurer", "apiKeys": keys, "priority": 1}}})
+		"limits": limits(), "tenants": tenants(keys...)})
 	r.note("configuration acknowledged", "version", version, "keys", len(keys))
 }
 
