Event streams: an increase between event IDs shows nothing

The servers were blamed for lost answers, which counts towards their ejection.

Cause: eventstream.Order inferred missing events from the increments between IDs: within an answer after three equal ones, where another answer continues the stream, after one event or the caller's own Last-Event-ID (where it held the event back), and from the spacing of the IDs of an answer that starts again. IDs over 64 bits counted as none.

It finds what can be known: an event that the caller has, an answer whose IDs decrease, an answer that starts before the last forwarded event and passes it or ends before it. Nothing is held back. Open places, increments, held events and their memory are gone. The caller's own Last-Event-ID is only a position: no server is judged by it.

--- a/router/eventstream/eventstream.go
+++ b/router/eventstream/eventstream.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 
 	"github.com/rotisserie/eris"
 )
@@ -39,9 +38,9 @@
 	Event struct {
 		// Raw contains the bytes of the event as they were received, with the empty line that ends it.
 		Raw []byte
-		// ID is the number in the id field of the event. It is valid only if HasID is true.
-		ID int64
-		// HasID reports whether the event has a numeric id field.
+		// ID is the ID of the event. It is valid only if HasID is true.
+		ID ID
+		// HasID reports whether the event has an ID that is an integer.
 		HasID bool
 	}
 
@@ -106,8 +105,7 @@
 			return e, nil
 		}
 		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
-			n, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
-			e.ID, e.HasID = n, err == nil
+			e.ID, e.HasID = ParseID(string(bytes.TrimSpace(id)))
 		}
 	}
 }
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -18,12 +17,11 @@
 )
 
 var (
-	errEventGap           = eris.New("the stream skipped an event")
 	errEventOrder         = eris.New("the stream has an event out of order")
+	errEndsEarly          = eris.New("the stream ended before an event that the caller has")
 	errCallerDisconnected = eris.New("the caller left")
 	errEngineStatus       = eris.New("the engine failed")
 	errNoNumberedEvents   = eris.New("the stream has no numbered events")
-	errHeldMemory         = eris.New("no memory is left for the events after a gap")
 	errOtherMediaType     = eris.New("the answer that continues the stream has another media type")
 )
 
@@ -44,10 +42,8 @@
 		headSent      bool
 		// mediaType is that of the answer whose head was sent.
 		mediaType string
-		// order places the numbered events. held are an open event and those without a number after it.
-		order     *eventstream.Order
-		held      []eventstream.Event
-		heldBytes int64
+		// order places the numbered events.
+		order *eventstream.Order
 		// firstEventAt is when the first event was forwarded.
 		firstEventAt time.Time
 		// lastEventAt is when the last event was forwarded.
@@ -68,12 +64,8 @@
 )
 
 func newRelay(ar *activeRequest) relay {
-	tokensPerEvent := 0
-	if engine := ar.pool.Engine; engine != nil {
-		tokensPerEvent = engine.TokensPerEvent
-	}
-	r := relay{activeRequest: ar, order: eventstream.NewOrder(tokensPerEvent)}
-	if id, err := strconv.ParseInt(ar.request.LastEventID, 10, 64); err == nil {
+	r := relay{activeRequest: ar, order: eventstream.NewOrder()}
+	if id, ok := eventstream.ParseID(ar.request.LastEventID); ok {
 		r.order.ResumeAfter(id)
 	}
 	return r
@@ -85,7 +77,7 @@
 	if !found {
 		return r.activeRequest.request.LastEventID
 	}
-	return strconv.FormatInt(id, 10)
+	return id.Text
 }
 
 // relayAnswer forwards the answer of an engine to the caller. A truncated answer is resumed or refused. granted
@@ -148,7 +140,6 @@
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
 	r.awaitsNumber, r.answerBeganAt = r.headSent, time.Time{}
-	r.releaseHeld()
 	r.order.BeginAnswer()
 	switch {
 	case !r.headSent:
@@ -165,8 +156,8 @@
 		switch {
 		case errors.Is(err, io.EOF) && r.awaitsNumber:
 			return errNoNumberedEvents
-		case errors.Is(err, io.EOF) && r.order.IsOpen():
-			return eris.Wrap(errEventGap, "at the end of the stream")
+		case errors.Is(err, io.EOF) && r.order.EndsEarly():
+			return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -188,7 +179,7 @@
 // isConnectionLoss reports whether an error of forward means that the connection to the engine was lost, rather
 // than that the engine sent an invalid stream.
 func isConnectionLoss(err error) bool {
-	for _, invalid := range []error{errEventGap, errEventOrder, errNoNumberedEvents, errOtherMediaType, errHeldMemory, eventstream.ErrTooLong, eventstream.ErrMemory} {
+	for _, invalid := range []error{errEventOrder, errEndsEarly, errNoNumberedEvents, errOtherMediaType, eventstream.ErrTooLong, eventstream.ErrMemory} {
 		if errors.Is(err, invalid) {
 			return false
 		}
@@ -197,8 +188,7 @@
 }
 
 // forwardEvent forwards an event, unless the caller has it already or it precedes the first numbered event of a continued
-// stream. An open event is held until the next one shows its place. It returns an error if the event does not follow the
-// last one, or if the caller has disconnected.
+// stream. It returns an error if the event is out of order, or if the caller has disconnected.
 func (r *relay) forwardEvent(ctx context.Context, e eventstream.Event) error {
 	r.unnumbered++
 	if r.unnumbered > maxUnnumbered {
@@ -215,36 +205,13 @@
 		switch r.order.Accept(e.ID) {
 		case eventstream.Repeated:
 			return nil
-		case eventstream.AfterGap:
-			return eris.Wrapf(errEventGap, "event %d after %s", e.ID, r.lastEventID())
 		case eventstream.OutOfOrder:
-			return eris.Wrapf(errEventOrder, "event %d after %s", e.ID, r.lastEventID())
-		}
-	}
-	if r.order.IsOpen() {
-		if !r.activeRequest.memory.Grow(int64(len(e.Raw))) {
-			return errHeldMemory
-		}
-		r.held, r.heldBytes = append(r.held, e), r.heldBytes+int64(len(e.Raw))
-		return nil
-	}
-	for _, h := range r.held {
-		if err := r.write(ctx, h); err != nil {
-			return err
+			return eris.Wrapf(errEventOrder, "event %s after %s", e.ID, r.lastEventID())
 		}
 	}
-	r.releaseHeld()
 	return r.write(ctx, e)
 }
 
-// releaseHeld drops the held events.
-func (r *relay) releaseHeld() {
-	if r.heldBytes > 0 {
-		r.activeRequest.memory.Shrink(r.heldBytes)
-	}
-	r.held, r.heldBytes = nil, 0
-}
-
 // write sends an event to the caller. It returns an error if the caller has disconnected.
 func (r *relay) write(ctx context.Context, e eventstream.Event) error {
 	now := time.Now()
