Gateway: events without an ID do not reach the caller twice

Callers saw: where another answer continued a stream and started again, the events without an ID between its events a second time.

Cause: events without an ID were dropped before the first ID of such an answer only, and forwarded between events that were dropped themselves.

Change: an event without an ID is dropped with the numbered one before it.

--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -50,8 +50,9 @@
 		lastEventAt time.Time
 		// unnumbered counts the events without a number since the last numbered one.
 		unnumbered int
-		// awaitsNumber is whether the current answer continues a stream and has sent no numbered event.
-		awaitsNumber bool
+		// skipsUnnumbered is whether events without a number are dropped: the numbered event before them was not forwarded, or
+		// the current answer continues a stream and has sent none.
+		skipsUnnumbered bool
 		// sample measures the speed of the current engine.
 		sample decodeSample
 		// move may move the current stream; nil if it does not move.
@@ -139,7 +140,8 @@
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
-	r.awaitsNumber, r.answerBeganAt = r.headSent, time.Time{}
+	continues := r.headSent
+	r.skipsUnnumbered, r.answerBeganAt = continues, time.Time{}
 	r.order.BeginAnswer()
 	switch {
 	case !r.headSent:
@@ -154,7 +156,7 @@
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && r.awaitsNumber:
+		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero():
 			return errNoNumberedEvents
 		case errors.Is(err, io.EOF) && r.order.EndsEarly():
 			return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
@@ -187,22 +189,24 @@
 	return true
 }
 
-// forwardEvent forwards an event, unless the caller has it already or it precedes the first numbered event of a continued
-// stream. It returns an error if the event is out of order, or if the caller has disconnected.
+// forwardEvent forwards an event, unless the caller has it already. Events without a number are dropped with the numbered one before
+// them, and before the first numbered one of a continued stream. It returns an error if the event is out of order, or if the caller has disconnected.
 func (r *relay) forwardEvent(ctx context.Context, e eventstream.Event) error {
 	r.unnumbered++
 	if r.unnumbered > maxUnnumbered {
 		return errNoNumberedEvents
 	}
-	if !e.HasID && r.awaitsNumber {
+	if !e.HasID && r.skipsUnnumbered {
 		return nil
 	}
 	if e.HasID {
-		r.unnumbered, r.awaitsNumber = 0, false
+		r.unnumbered = 0
 		if r.answerBeganAt.IsZero() {
 			r.answerBeganAt = time.Now()
 		}
-		switch r.order.Accept(e.ID) {
+		place := r.order.Accept(e.ID)
+		r.skipsUnnumbered = place == eventstream.Repeated
+		switch place {
 		case eventstream.Repeated:
 			return nil
 		case eventstream.OutOfOrder:
