Gateway: an answer that continues a stream may have no further event

Callers saw: a stream broken off, although all its events had arrived, where its connection was lost between the last event and the end; the server that continued it was blamed for a lost answer.

Cause: an answer that continues a stream had to have an event.

Change: an empty answer is the end of the stream if a length or chunks mark its own end. If it ends with its connection, a server that has terminated looks the same, and the stream is broken off as before ("or the stream ends as complete before its last piece"). The bound on events without an ID counts within one answer.

Tests: platform TestStreamWithoutFurtherEventsIsComplete (three real entries): the case with chunks red before, the other one green before and after. The case "an empty stream" of gateway.TestOtherAnswersDoNotEndUpInAStream asked for a break; it is now three: empty and marked (whole), empty and ended by its connection (broken off), a comment alone (broken off).

--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -137,11 +137,12 @@
 }
 
 // forward sends the complete events of an engine's stream to the caller. It returns nil at the end of the stream. A stream
-// that continues another one begins with its first numbered event, so that no text of an error gets into the answer.
+// that continues another one begins with its first numbered event, so that no text of an error gets into the answer. If the
+// caller has all events already, it may have none; its end must be marked then, as an engine may also have terminated.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
 	continues := r.headSent
-	r.skipsUnnumbered, r.answerBeganAt = continues, time.Time{}
+	r.skipsUnnumbered, r.unnumbered, r.answerBeganAt = continues, 0, time.Time{}
 	r.order.BeginAnswer()
 	switch {
 	case !r.headSent:
@@ -156,7 +157,7 @@
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero():
+		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero() && (r.unnumbered > 0 || !a.IsDelimited):
 			return errNoNumberedEvents
 		case errors.Is(err, io.EOF) && r.order.EndsEarly():
 			return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
