Gateway: a stream that ends with its connection before its first event is lost

Cause: a killed process closes its connections in an orderly way, which without a length and chunks is the end of a stream. The stream counted as a complete answer, and that cleared the evidence against the part.

Change: a stream that ends with its connection and has no event counts as lost, with its evidence.

--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -22,6 +22,7 @@
 	errCallerDisconnected = eris.New("the caller left")
 	errEngineStatus       = eris.New("the engine failed")
 	errNoNumberedEvents   = eris.New("the stream has no numbered events")
+	errNoEvents           = eris.New("the connection ended before the first event of the stream")
 	errOtherMediaType     = eris.New("the answer that continues the stream has another media type")
 )
 
@@ -137,8 +138,9 @@
 }
 
 // forward sends the complete events of an engine's stream to the caller. It returns nil at the end of the stream. A stream
-// that continues another one begins with its first numbered event, so that no text of an error gets into the answer. If the
-// caller has all events already, it may have none; its end must be marked then, as an engine may also have terminated.
+// that continues another one begins with its first numbered event, so that no text of an error gets into the answer. It may have
+// none, if the caller has all events. A stream without events that ends with its connection counts as lost: an engine that
+// terminates as it begins to answer closes it in the same way.
 func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
 	mediaType := mediaType(a.Header)
 	continues := r.headSent
@@ -157,7 +159,9 @@
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero() && (r.unnumbered > 0 || !a.IsDelimited):
+		case errors.Is(err, io.EOF) && r.isEmpty() && !a.IsDelimited:
+			return errNoEvents
+		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero() && !r.isEmpty():
 			return errNoNumberedEvents
 		case errors.Is(err, io.EOF) && r.order.EndsEarly():
 			return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
@@ -173,6 +177,9 @@
 	}
 }
 
+// isEmpty reports whether the current answer has sent no event.
+func (r *relay) isEmpty() bool { return r.answerBeganAt.IsZero() && r.unnumbered == 0 }
+
 // mediaType returns the media type of an answer without its parameters.
 func mediaType(h http.Header) string {
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -130,3 +130,21 @@
 		})
 	}
 }
+
+// Guards against the answer of an engine that has terminated before its first event and that callers receive as complete.
+func TestStreamWithoutEventsIsCompleteOnlyIfItsEndIsMarked(t *testing.T) {
+	for want, endsWithConnection := range map[string]bool{"answered": false, "upstream_lost/yes": true} {
+		t.Run(want, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstreams{}
+				g := newGateway(t, f, ingress.Streaming{MaxGap: 50 * time.Millisecond})
+				f.reset(bothDecodeEngines(step{body: "", endsWithConnection: endsWithConnection}))
+				a := &recordedReply{}
+				is.Equal(outcome(g.Serve(t.Context(), request(), a)), want)
+				is.Equal(a.String(), "")
+				synctest.Wait()
+			})
+		})
+	}
+}
