Gateway: a caller that reads slowly does not make its engine a stalled one

Cause: while a caller does not read, the relay waits in a write and reads nothing from the engine. The stall monitor counted that as silence of the engine, acquired memory elsewhere and cancelled the decode.

Change: a stall timeout during a write to the caller starts anew.

Tests: gateway TestSlowCallerDoesNotStallAnEngine, red before (two reservations for a sound stream).

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -99,12 +99,15 @@
 		status int
 		header http.Header
 		bytes.Buffer
+		// writeTime is how long the caller takes to read an event.
+		writeTime time.Duration
 	}
 )
 
 func (r *recordedReply) Begin(status int, h http.Header, _ int64) { r.status, r.header = status, h }
 
 func (r *recordedReply) Write(p []byte) error {
+	time.Sleep(r.writeTime)
 	_, err := r.Buffer.Write(p)
 	return err
 }
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -58,6 +58,8 @@
 		sample decodeSample
 		// move may move the current stream; nil if it does not move.
 		move *streamMove
+		// monitor finds out whether the current stream stalls; nil if it may not continue at another engine.
+		monitor *stallMonitor
 		// onNextEvent is called once when the next numbered event was forwarded, unless it is nil.
 		onNextEvent func(at time.Time)
 		// answerBeganAt is when the current engine sent its first numbered event; zero if it has sent none.
@@ -91,8 +93,8 @@
 	before := n.record.Events
 	began := time.Now()
 	n.relay.sample = decodeSample{member: m}
-	n.relay.move = n.move
-	err := n.relay.forward(ctx, a, n.stallMonitor)
+	n.relay.move, n.relay.monitor = n.move, n.stallMonitor
+	err := n.relay.forward(ctx, a)
 	t.Begun = !n.relay.answerBeganAt.IsZero() && time.Since(n.relay.answerBeganAt) > beginningTime
 	if events := n.record.Events - before; events > 0 {
 		if before == 0 {
@@ -141,7 +143,7 @@
 // that continues another one begins with its first numbered event, so that no text of an error gets into the answer. It may have
 // none, if the caller has all events. A stream without events that ends with its connection counts as lost: an engine that
 // terminates as it begins to answer closes it in the same way.
-func (r *relay) forward(ctx context.Context, a Answer, monitor *stallMonitor) error {
+func (r *relay) forward(ctx context.Context, a Answer) error {
 	mediaType := mediaType(a.Header)
 	continues := r.headSent
 	r.skipsUnnumbered, r.unnumbered, r.answerBeganAt = continues, 0, time.Time{}
@@ -170,7 +172,7 @@
 		case err != nil:
 			return err
 		}
-		monitor.dataReceived()
+		r.monitor.dataReceived()
 		if err := r.forwardEvent(ctx, e); err != nil {
 			return err
 		}
@@ -236,7 +238,9 @@
 	if e.HasID {
 		r.sampleEvent(now)
 	}
+	r.monitor.setWriting(true)
 	err := r.activeRequest.reply.Write(e.Raw)
+	r.monitor.setWriting(false)
 	writing := time.Since(now)
 	r.sample.writing += writing
 	if e.HasID {
--- a/router/gateway/stall.go
+++ b/router/gateway/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrypin.example/router/ingress"
@@ -31,6 +32,8 @@
 		// stallTimeout is how long the engine may send nothing before a search starts.
 		stallTimeout time.Duration
 		timer        *time.Timer
+		// isWriting is whether a write to the caller is in progress. Nothing is read from the engine meanwhile.
+		isWriting atomic.Bool
 
 		mu sync.Mutex
 		// cancelSearch cancels the current search; nil if there is none.
@@ -75,6 +78,13 @@
 	s.timer.Reset(s.stallTimeout)
 }
 
+// setWriting records whether a write to the caller is in progress. A caller that reads slowly does not make its engine a stalled one.
+func (s *stallMonitor) setWriting(isWriting bool) {
+	if s != nil {
+		s.isWriting.Store(isWriting)
+	}
+}
+
 // decodeCancelled reports whether the monitor cancelled the decode because it has memory at another engine.
 func (s *stallMonitor) decodeCancelled() bool {
 	if s == nil {
@@ -101,8 +111,8 @@
 	return s.grant, s.reservedRetries
 }
 
-// search waits for memory at another engine until the stalled one sends data again. Without a retry in the
-// budget, or with quarantined content, it waits for the next stall timeout instead.
+// search waits for memory at another engine until the stalled one sends data again. During a write to the caller, without a retry
+// in the budget, or with quarantined content, it waits for the next stall timeout instead.
 func (s *stallMonitor) search() {
 	n := s.generation
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -112,7 +122,7 @@
 		s.mu.Unlock()
 		return
 	}
-	if n.refuseQuarantined(refusal.RanNo) != nil || !n.poolState.retryBudget.Reserve(retriesPerRound) {
+	if s.isWriting.Load() || n.refuseQuarantined(refusal.RanNo) != nil || !n.poolState.retryBudget.Reserve(retriesPerRound) {
 		s.timer.Reset(s.stallTimeout)
 		s.mu.Unlock()
 		return
--- a/router/gateway/stall_test.go
+++ b/router/gateway/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against the stream of a sound engine that runs again at another one because its caller reads slowly.
+func TestSlowCallerDoesNotStallAnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeUpstreams{}
+		g := newGateway(t, f, ingress.Streaming{Resumable: true, MaxGap: 50 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+		earnRetries(t, g, 20)
+		f.reset(bothDecodeEngines(step{events: sequence(1, 3), pause: 5 * time.Millisecond}))
+		var reservations atomic.Int64
+		f.reserve = func(id string, _ int) reservation.Outcome {
+			reservations.Add(1)
+			return reservation.Reserved{ID: id}
+		}
+		a := &recordedReply{writeTime: 4 * time.Second}
+		is.Equal(outcome(g.Serve(t.Context(), request(), a)), "answered")
+		is.Equal(receivedIDs(a), "1 2 3")
+		is.Equal(reservations.Load(), int64(1))
+		is.Equal(len(f.sends()), 2) // one prefill and one decode
+		synctest.Wait()
+	})
+}
