Gateway: memory for a stalled stream is not used once its engine drains

Cause: memory that the stall monitor had acquired was used when the stream noticed that it was cancelled, which is seconds later if its caller does not read. Neither the state of the engine nor the life of the reservation was checked.

Change: such memory is used only while its reservation stands and its engine is ready; otherwise it is freed and other memory is requested.

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -286,6 +286,13 @@
 // newGateway returns a gateway with one pool. For a streaming kind it has two prefill and two decode engines,
 // otherwise two plain services.
 func newGateway(t *testing.T, f *fakeUpstreams, kind ingress.Kind, opts ...gateway.Option) *gateway.Gateway {
+	t.Helper()
+	g, _ := newGatewayWithDirectory(t, f, kind, opts...)
+	return g
+}
+
+// newGatewayWithDirectory returns a gateway as newGateway does, and the directory of its upstreams.
+func newGatewayWithDirectory(t *testing.T, f *fakeUpstreams, kind ingress.Kind, opts ...gateway.Option) (*gateway.Gateway, *upstream.Directory) {
 	t.Helper()
 	pool, prefill, decode := "desk", []string{}, []string{}
 	plain := []string{"d1", "d2"}
@@ -311,8 +318,7 @@
 			d.Put(upstream.Upstream{ID: id, Pool: pool, Phase: phase, Slots: 4})
 		}
 	}
-	g := gateway.New(rules, d, f, opts...)
-	return g
+	return gateway.New(rules, d, f, opts...), d
 }
 
 // sends returns the IDs of the upstreams that requests were sent to since the last reset, in order.
--- a/router/gateway/generate.go
+++ b/router/gateway/generate.go
@@ -53,7 +53,7 @@
 		// decodeReason is why the last decode was sent.
 		decodeReason SendReason
 		// heldGrant is memory at another engine that was acquired while a stream stalled; nil if there is none.
-		heldGrant *reservation.Grant
+		heldGrant *heldGrant
 		// reservedRetries is the number of retries that this generation has reserved from the budget and not
 		// used yet.
 		reservedRetries int
@@ -226,13 +226,21 @@
 	return limited
 }
 
+// isUsable reports whether memory that the stall monitor has acquired is still reserved, at an engine that takes requests. The relay
+// may have waited for its caller since.
+func (n *generation) isUsable(held *heldGrant, now time.Time) bool {
+	return n.isReady(held.Member, now) && now.Sub(held.acquiredAt) < reservationLife(n.pool)-reservationMargin
+}
+
 // acquireMemory returns the memory that the stall monitor acquired, or waits in the queue for memory. It
 // returns false if the wait ended without memory.
 func (n *generation) acquireMemory(ctx context.Context) (reservation.Grant, bool) {
-	if n.heldGrant != nil {
-		grant := *n.heldGrant
+	if held := n.heldGrant; held != nil {
 		n.heldGrant = nil
-		return grant, true
+		if n.isUsable(held, time.Now()) {
+			return held.Grant, true
+		}
+		n.gateway.upstreams.FreeReservation(held.Member, held.Reservation)
 	}
 	if n.resuming {
 		return n.poolState.memoryQueue.Wait(ctx, n.resumeWaiter(time.Now(), n.avoid))
--- a/router/gateway/move.go
+++ b/router/gateway/move.go
@@ -281,9 +281,13 @@
 
 // takesStreams reports whether an engine may get a stream: it is ready for new requests, and states no limit.
 func (n *generation) takesStreams(m *upstream.Member, now time.Time) bool {
-	g := n.gateway
-	ready := g.directory.Ready(n.pool.Name, upstream.PhaseDecode, now)
-	return !g.moves.isLimited(m.Incarnation()) && slices.ContainsFunc(ready, func(r *upstream.Member) bool { return r.History == m.History })
+	return !n.gateway.moves.isLimited(m.Incarnation()) && n.isReady(m, now)
+}
+
+// isReady reports whether a decode engine is ready for new requests.
+func (n *generation) isReady(m *upstream.Member, now time.Time) bool {
+	ready := n.gateway.directory.Ready(n.pool.Name, upstream.PhaseDecode, now)
+	return slices.ContainsFunc(ready, func(r *upstream.Member) bool { return r.History == m.History })
 }
 
 // move copies the memory of the stream to an engine while the stream continues, then stops the run and copies the rest.
--- a/router/gateway/stall.go
+++ b/router/gateway/stall.go
@@ -20,6 +20,12 @@
 )
 
 type (
+	// heldGrant is memory at an engine that was acquired while a stream stalled at another one.
+	heldGrant struct {
+		reservation.Grant
+		acquiredAt time.Time
+	}
+
 	// stallMonitor watches the stream of a decode that may continue at another engine. When the stream
 	// stalls, it acquires memory at another engine and then cancels the decode. Until it has that memory,
 	// the decode goes on, as its stream may still continue. A nil monitor does nothing. It is safe for
@@ -39,7 +45,7 @@
 		// cancelSearch cancels the current search; nil if there is none.
 		cancelSearch context.CancelFunc
 		// grant is the memory at another engine; nil if there is none.
-		grant *reservation.Grant
+		grant *heldGrant
 		// reservedRetries is the number of retries that are reserved to continue at the other engine.
 		reservedRetries int
 		stopped         bool
@@ -97,7 +103,7 @@
 
 // stop stops the monitor. It returns the memory at another engine, or nil, and the number of retries that are
 // reserved to continue there.
-func (s *stallMonitor) stop() (*reservation.Grant, int) {
+func (s *stallMonitor) stop() (*heldGrant, int) {
 	if s == nil {
 		return nil, 0
 	}
@@ -134,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ok && ctx.Err() == nil {
-		s.grant, s.reservedRetries, s.cancelSearch = &grant, retriesPerRound, nil
+		s.grant, s.reservedRetries, s.cancelSearch = &heldGrant{Grant: grant, acquiredAt: time.Now()}, retriesPerRound, nil
 		s.cancelDecode()
 		return
 	}
--- a/router/gateway/stall_test.go
+++ b/router/gateway/stall_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +15,15 @@
 	"gooseberrypin.example/router/gateway"
 	"gooseberrypin.example/router/ingress"
 	"gooseberrypin.example/router/reservation"
+	"gooseberrypin.example/router/upstream"
+)
+
+type (
+	// lateBody sends an event that was received before the decode was cancelled, once the memory at another engine is acquired.
+	lateBody struct {
+		acquired chan struct{}
+		reads    int
+	}
 )
 
 // A stalled stream may still continue. It moves to another engine only if that engine has reserved memory and the
@@ -134,3 +146,71 @@
 		synctest.Wait()
 	})
 }
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	b.reads++
+	switch b.reads {
+	case 1:
+	case 2:
+		<-b.acquired
+		time.Sleep(time.Millisecond)
+	default:
+		return 0, errBroken
+	}
+	return copy(p, fmt.Sprintf("id: %d\ndata: x\n\n", b.reads)), nil
+}
+
+func (b *lateBody) Release() {}
+
+// Guards against a request that reaches an engine that drains, or with a reservation that has lapsed: memory was acquired there while
+// a stream stalled elsewhere, and the caller reads the last event of that stream seconds later.
+func TestMemoryOfAStalledStreamIsNotUsedLate(t *testing.T) {
+	tests := map[string]struct {
+		writeTime time.Duration
+		drains    bool
+		// reservations is the number of reservations, and freed whether the second one is freed.
+		reservations int
+		freed        bool
+	}{
+		"at once":                  {0, false, 2, false},
+		"a lapsed one":             {2 * time.Second, false, 3, true},
+		"of an engine that drains": {500 * time.Millisecond, true, 3, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstreams{}
+				g, d := newGatewayWithDirectory(t, f, ingress.Streaming{Resumable: true, MaxGap: 50 * time.Millisecond}, gateway.WithRetryRatio(0.5))
+				d.Put(upstream.Upstream{ID: "g3", Pool: "chat", Phase: upstream.PhaseDecode, Slots: 4})
+				earnRetries(t, g, 20)
+				acquired := make(chan struct{})
+				late := step{result: gateway.Answer{Status: 200, Header: http.Header{}, Body: &lateBody{acquired: acquired}, Length: -1}}
+				f.reset(map[string][]step{anyUpstream: {late, {events: sequence(3, 4), pause: time.Millisecond}}})
+				var mu sync.Mutex
+				var reserved []string
+				f.reserve = func(id string, _ int) reservation.Outcome {
+					mu.Lock()
+					defer mu.Unlock()
+					reserved = append(reserved, id)
+					if len(reserved) == 2 {
+						close(acquired)
+						if tt.drains {
+							time.AfterFunc(10*time.Millisecond, func() {
+								d.Put(upstream.Upstream{ID: id, Pool: "chat", Phase: upstream.PhaseDecode, Slots: 4, Draining: true})
+							})
+						}
+					}
+					return reservation.Reserved{ID: fmt.Sprintf("hold-%d", len(reserved))}
+				}
+				a := &recordedReply{writeTime: tt.writeTime}
+				is.Equal(outcome(g.Serve(t.Context(), request(), a)), "answered")
+				is.Equal(receivedIDs(a), "1 2 3 4")
+				synctest.Wait()
+				is.Equal(len(reserved), tt.reservations)
+				is.Equal(slices.Contains(f.freed, "hold-2"), tt.freed)
+				is.Equal(tt.drains && slices.Contains(f.sends()[2:], reserved[1]), false)
+			})
+		})
+	}
+}
