--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -161,14 +161,8 @@
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && r.isEmpty() && !a.IsDelimited:
-			return errNoEvents
-		case errors.Is(err, io.EOF) && continues && r.answerBeganAt.IsZero() && !r.isEmpty():
-			return errNoNumberedEvents
-		case errors.Is(err, io.EOF) && r.order.EndsEarly():
-			return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
 		case errors.Is(err, io.EOF):
-			return nil
+			return r.checkEnd(continues, a.IsDelimited)
 		case err != nil:
 			return err
 		}
@@ -179,8 +173,20 @@
 	}
 }
 
-// isEmpty reports whether the current answer has sent no event.
-func (r *relay) isEmpty() bool { return r.answerBeganAt.IsZero() && r.unnumbered == 0 }
+// checkEnd returns an error if the answer that has ended is not the rest of the stream. continues is whether another answer
+// precedes it.
+func (r *relay) checkEnd(continues, isDelimited bool) error {
+	hasNumber := !r.answerBeganAt.IsZero()
+	switch {
+	case !hasNumber && r.unnumbered == 0 && !isDelimited:
+		return errNoEvents
+	case !hasNumber && r.unnumbered > 0 && continues:
+		return errNoNumberedEvents
+	case r.order.EndsEarly():
+		return eris.Wrapf(errEndsEarly, "event %s", r.lastEventID())
+	}
+	return nil
+}
 
 // mediaType returns the media type of an answer without its parameters.
 func mediaType(h http.Header) string {
@@ -199,8 +205,9 @@
 	return true
 }
 
-// forwardEvent forwards an event, unless the caller has it already. Events without a number are dropped with the numbered one before
-// them, and before the first numbered one of a continued stream. It returns an error if the event is out of order, or if the caller has disconnected.
+// forwardEvent forwards an event, unless the caller has it already. Events without a number are dropped with the numbered one
+// before them, and before the first numbered one of a continued stream. It returns an error if the event is out of order, or if
+// the caller has disconnected.
 func (r *relay) forwardEvent(ctx context.Context, e eventstream.Event) error {
 	r.unnumbered++
 	if r.unnumbered > maxUnnumbered {
