Gateway, tests: bodies that end with their connection are close-delimited

RFC 9112's term, in place of two of our own (IsDelimited, and framed in tests). A rename; gateway.Answer states the exception now, so that its zero value is the usual case.

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -46,8 +46,8 @@
 		status int
 		// contentType is the media type of the answer; empty for none.
 		contentType string
-		// endsWithConnection is whether the answer has neither a length nor chunks.
-		endsWithConnection bool
+		// closeDelimited is whether the answer has neither a length nor chunks.
+		closeDelimited bool
 	}
 
 	// fakeUpstreams implements gateway.Upstreams. Each send takes the next step of its upstream, or the next
@@ -173,9 +173,9 @@
 		header.Set("Content-Type", s.contentType)
 	}
 	if s.events == nil {
-		return gateway.Answer{Status: s.status, Header: header, Body: releasableReader{bytes.NewReader([]byte(s.body))}, Length: int64(len(s.body)), IsDelimited: !s.endsWithConnection}
+		return gateway.Answer{Status: s.status, Header: header, Body: releasableReader{bytes.NewReader([]byte(s.body))}, Length: int64(len(s.body)), IsCloseDelimited: s.closeDelimited}
 	}
-	return gateway.Answer{Status: s.status, Header: header, Body: &streamBody{ctx: ctx, step: s, released: make(chan struct{})}, Length: -1, IsDelimited: !s.endsWithConnection}
+	return gateway.Answer{Status: s.status, Header: header, Body: &streamBody{ctx: ctx, step: s, released: make(chan struct{})}, Length: -1, IsCloseDelimited: s.closeDelimited}
 }
 
 type (
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -162,7 +162,7 @@
 		e, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
-			return r.checkEnd(continues, a.IsDelimited)
+			return r.checkEnd(continues, a.IsCloseDelimited)
 		case err != nil:
 			return err
 		}
@@ -175,10 +175,10 @@
 
 // checkEnd returns an error if the answer that has ended is not the rest of the stream. continues is whether another answer
 // precedes it.
-func (r *relay) checkEnd(continues, isDelimited bool) error {
+func (r *relay) checkEnd(continues, isCloseDelimited bool) error {
 	hasNumber := !r.answerBeganAt.IsZero()
 	switch {
-	case !hasNumber && r.unnumbered == 0 && !isDelimited:
+	case !hasNumber && r.unnumbered == 0 && isCloseDelimited:
 		return errNoEvents
 	case !hasNumber && r.unnumbered > 0 && continues:
 		return errNoNumberedEvents
--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -33,7 +33,7 @@
 		"a head in the body":                            {broken, step{body: head + "\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 		"text without a number":                         {broken, step{body: "data: error\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 		"an empty stream, all events are there":         {broken, step{body: "", contentType: events}, "answered", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
-		"an empty stream that ends with its connection": {broken, step{body: "", contentType: events, endsWithConnection: true}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
+		"an empty stream that ends with its connection": {broken, step{body: "", contentType: events, closeDelimited: true}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 		"a comment alone":                               {broken, step{body: ": wait\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
 		"a comment, then the rest":                      {broken, step{body: ": wait\n\nid: 3\ndata: x\n\n", contentType: events + "; charset=utf-8"}, "answered", "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"},
 		"comments without end":                          {broken, step{body: strings.Repeat(": wait\n\n", 1000) + "id: 3\ndata: x\n\n", contentType: events}, "upstream_lost/yes", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"},
@@ -133,13 +133,13 @@
 
 // Guards against the answer of an engine that has terminated before its first event and that callers receive as complete.
 func TestStreamWithoutEventsIsCompleteOnlyIfItsEndIsMarked(t *testing.T) {
-	for want, endsWithConnection := range map[string]bool{"answered": false, "upstream_lost/yes": true} {
+	for want, closeDelimited := range map[string]bool{"answered": false, "upstream_lost/yes": true} {
 		t.Run(want, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := &fakeUpstreams{}
 				g := newGateway(t, f, ingress.Streaming{MaxGap: 50 * time.Millisecond})
-				f.reset(bothDecodeEngines(step{body: "", endsWithConnection: endsWithConnection}))
+				f.reset(bothDecodeEngines(step{body: "", closeDelimited: closeDelimited}))
 				a := &recordedReply{}
 				is.Equal(outcome(g.Serve(t.Context(), request(), a)), want)
 				is.Equal(a.String(), "")
--- a/router/gateway/upstreams.go
+++ b/router/gateway/upstreams.go
@@ -97,9 +97,9 @@
 		Body   Body
 		// Length is the length of the body in bytes; negative if it is unknown.
 		Length int64
-		// IsDelimited is whether the answer marks the end of its body, by a length or chunks. Otherwise the body ends with the
-		// connection, also if the upstream terminates.
-		IsDelimited bool
+		// IsCloseDelimited is whether the body has neither a length nor chunks. It ends with the connection, also if the upstream
+		// terminates.
+		IsCloseDelimited bool
 	}
 
 	// NotRun means that the upstream did not run the request and never will.
