subscription, quota, membership: no expired timers in synctest bubbles

No caller is affected: it happens in tests only.

Cause: since Go 1.23, the goroutine that receives from a timer's channel runs the timer itself if it has expired. In a synctest bubble, all goroutines do so with the one race context of the bubble, without a lock (runtime, timer.unlockAndRun, Go 1.26). If two do it at the same time, the state of the race detector is corrupted: a failed CHECK, or SIGSEGV on goroutine 0. Our tests did it where a wait is zero: watches that do not wait (many peers ask at once when a process starts), reports of quotas that may be sent at once and reporters that stop together, and the fake engines of the gateway's tests; and where a ticker falls behind: entries that join at seeds which do not answer.

Change: where the wait is zero, no timer is created, and an entry that joins waits for the rest of the interval instead of for a ticker.

--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -125,7 +125,7 @@
 			return 0, b.ctx.Err()
 		case <-b.released:
 			return 0, errBroken
-		case <-time.After(b.step.pause):
+		case <-after(b.step.pause):
 		}
 		fmt.Fprintf(&b.buffer, "id: %d\ndata: x\n\n", b.step.events[b.next])
 		b.next++
@@ -133,6 +133,16 @@
 	return b.buffer.Read(p)
 }
 
+// after is time.After without a timer for a zero duration.
+func after(d time.Duration) <-chan time.Time {
+	if d > 0 {
+		return time.After(d)
+	}
+	passed := make(chan time.Time)
+	close(passed)
+	return passed
+}
+
 func (b *streamBody) Release() { b.once.Do(func() { close(b.released) }) }
 
 // nextStep records a send to an upstream and returns its next step.
--- a/router/membership/group.go
+++ b/router/membership/group.go
@@ -170,13 +170,17 @@
 func (g *Group) join(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	t := time.NewTicker(joinInterval)
-	defer t.Stop()
-	for len(g.seeds) > 0 && !g.exchangeAll(ctx, g.seeds...) {
-		select {
-		case <-ctx.Done():
+	for len(g.seeds) > 0 && ctx.Err() == nil {
+		next := time.Now().Add(joinInterval)
+		if g.exchangeAll(ctx, g.seeds...) {
 			return
-		case <-t.C:
+		}
+		if wait := time.Until(next); wait > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait):
+			}
 		}
 	}
 }
--- a/router/quota/report.go
+++ b/router/quota/report.go
@@ -77,10 +77,12 @@
 			c.mu.Lock()
 			gap := c.link.nextEarly(time.Now())
 			c.mu.Unlock()
-			select {
-			case <-ctx.Done():
-			case <-next.C:
-			case <-time.After(gap):
+			if gap > 0 {
+				select {
+				case <-ctx.Done():
+				case <-next.C:
+				case <-time.After(gap):
+				}
 			}
 		}
 		next.Stop()
@@ -105,7 +107,7 @@
 	sent := time.Now()
 	answer, err := c.send(ctx, owner, r)
 	if ctx.Err() != nil {
-		return 0
+		return reportInterval
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/router/subscription/fleet_test.go
+++ b/router/subscription/fleet_test.go
@@ -128,8 +128,7 @@
 
 // watch counts a read and returns the content that pick returns, as soon as it isn't nil. It returns nil after wait.
 func (p *replica) watch(ctx context.Context, wait time.Duration, pick func() []byte) ([]byte, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	end := time.Now().Add(wait)
 	p.mu.Lock()
 	p.reads++
 	p.mu.Unlock()
@@ -140,13 +139,13 @@
 		if down {
 			return nil, errDown
 		}
-		if content != nil {
+		remaining := time.Until(end)
+		if content != nil || remaining <= 0 {
 			return content, nil
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return nil, nil
+		case <-time.After(remaining):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/router/subscription/serve.go
+++ b/router/subscription/serve.go
@@ -16,17 +16,19 @@
 // or VM list, and at the latest after wait. If there is none by then, the update contains a conflicting or rejected
 // manifest that the peer does not have in force, if there is one, so that each process evaluates it itself.
 func (r *Reader) Watch(ctx context.Context, view port.View, wait time.Duration) port.Update {
-	timer := time.NewTimer(min(max(wait, 0), maxServeWait))
-	defer timer.Stop()
+	end := time.Now().Add(min(wait, maxServeWait))
 	for {
 		changed := r.changes()
 		if u := r.newerThan(view); len(u.Manifest)+len(u.VMs) > 0 {
 			return u
 		}
+		remaining := time.Until(end)
+		if remaining <= 0 {
+			return r.rejectedFor(view)
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return r.rejectedFor(view)
+		case <-time.After(remaining):
 		case <-ctx.Done():
 			return port.Update{View: r.View()}
 		}
--- a/router/subscription/subscription_test.go
+++ b/router/subscription/subscription_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,38 @@
 	})
 }
 
+// TestConcurrentWatchesWithoutWait checks that watches that do not wait are answered at once, also many at the same
+// time. It guards against a timer for each of them: under the race detector, the runtime crashes where goroutines of a
+// bubble run expired timers at the same time (Go 1.26).
+func TestConcurrentWatchesWithoutWait(t *testing.T) {
+	const peers, watches = 8, 20000
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newReplica()
+		f := newFleet(t, 1, 1)
+		p.publish(1, "a", true)
+		p.publishVMs(f.list)
+		f.startAll(p)
+		defer f.stopAll()
+		reader := f.all()[0].reader
+		view, start := reader.View(), time.Now()
+		var wg sync.WaitGroup
+		for range peers {
+			wg.Go(func() {
+				for range watches {
+					if u := reader.Watch(context.Background(), view, 0); u.Manifest != nil || u.VMs != nil {
+						t.Error("a watch with the current view is answered with an update")
+						return
+					}
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(time.Since(start), time.Duration(0))
+		is.True(len(reader.Watch(context.Background(), port.View{}, 0).Manifest) > 0) // an older view gets the update without a wait
+	})
+}
+
 // TestRestartAtStalePlatform checks that a process that restarts with a stale replica of the platform does not revert
 // to its revision. A naive reader, which adopts what the platform serves, would.
 func TestRestartAtStalePlatform(t *testing.T) {
